--- /dev/null
+++ b/src/bin/wisteriactl.rs
@@ -0,0 +1,2 @@
+//! The operators command line.
+fn main() {}
--- /dev/null
+++ b/src/bin/wisteriaglade.rs
@@ -0,0 +1,2 @@
+//! The daemon.
+fn main() {}
--- /dev/null
+++ b/wisteriaglade-consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! A replicated log: the step function and its storage.
--- /dev/null
+++ b/wisteriaglade-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control state machine and the planner that proposes its changes.
--- /dev/null
+++ b/wisteriaglade-ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/wisteriaglade-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: listeners, drivers, settings, metrics and traces.
--- /dev/null
+++ b/wisteriaglade-once/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated records that keep a request from running twice.
--- /dev/null
+++ b/wisteriaglade-rules/src/lib.rs
@@ -0,0 +1,1 @@
+//! The rules file: parsing, checking, comparing and matching.
--- /dev/null
+++ b/wisteriaglade-types/src/name.rs
@@ -0,0 +1,49 @@
+//! Shared immutable strings.
+
+use std::{borrow::Borrow, fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// The name of a host, data centre, member, pool or operator.
+///
+/// Cloning shares the string.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Name(Arc<str>);
+
+impl Name {
+    /// The name as a string slice.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for Name {
+    fn from(text: &str) -> Self {
+        Self(text.into())
+    }
+}
+
+impl From<String> for Name {
+    fn from(text: String) -> Self {
+        Self(text.into())
+    }
+}
+
+impl AsRef<str> for Name {
+    fn as_ref(&self) -> &str {
+        &self.0
+    }
+}
+
+impl Borrow<str> for Name {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
