--- /dev/null
+++ b/wisteriaglade-wire/src/datagram.rs
@@ -0,0 +1,66 @@
+//! One message in a UDP datagram.
+
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    VERSION,
+    error::{Error, Kind, Result},
+    frame::Frame,
+    key::Key,
+};
+
+/// The encoding of one message in a datagram: a version byte, the body in
+/// postcard, and a tag of 16 bytes over both.
+#[derive(Debug)]
+pub struct Datagram;
+
+impl Datagram {
+    /// The longest datagram, in bytes. It fits one Ethernet frame.
+    pub const LIMIT: usize = 1_400;
+
+    /// The length of the tag, in bytes.
+    const TAG: usize = 16;
+
+    /// Encodes and seals a message.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Oversize`] when the datagram is over [`Datagram::LIMIT`], and
+    /// [`Kind::Malformed`] when the type cannot be encoded.
+    pub fn seal<T: Serialize>(key: &Key, message: &T) -> Result<Vec<u8>> {
+        let mut bytes =
+            postcard::to_extend(message, vec![VERSION]).map_err(|_| Error::new(Kind::Malformed))?;
+        let tag = key.tag(&[&bytes]);
+        bytes.extend_from_slice(&tag.as_bytes()[..Self::TAG]);
+        if bytes.len() > Self::LIMIT {
+            return Err(Error::new(Kind::Oversize(bytes.len())));
+        }
+        Ok(bytes)
+    }
+
+    /// Checks the tag and decodes the message.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Version`], [`Kind::Unauthenticated`] or [`Kind::Malformed`].
+    pub fn open<T: DeserializeOwned>(key: &Key, bytes: &[u8]) -> Result<T> {
+        let Some(split) = bytes.len().checked_sub(Self::TAG).filter(|&n| n > 0) else {
+            return Err(Error::new(Kind::Malformed));
+        };
+        let (sealed, tag) = bytes.split_at(split);
+        if sealed[0] != VERSION {
+            return Err(Error::new(Kind::Version(sealed[0])));
+        }
+        let expected = key.tag(&[sealed]);
+        // Widens both to a full hash, whose comparison is constant time.
+        let widen = |half: &[u8]| {
+            let mut full = [0; 32];
+            full[..Self::TAG].copy_from_slice(half);
+            blake3::Hash::from_bytes(full)
+        };
+        if widen(tag) != widen(&expected.as_bytes()[..Self::TAG]) {
+            return Err(Error::new(Kind::Unauthenticated));
+        }
+        Frame::decode(&sealed[1..])
+    }
+}
--- /dev/null
+++ b/wisteriaglade-wire/src/link.rs
@@ -0,0 +1,215 @@
+//! An authenticated connection that carries frames.
+
+use bytes::BytesMut;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::io::{
+    AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, BufReader, ReadHalf, WriteHalf, split,
+};
+
+use crate::{
+    VERSION,
+    error::{Error, Kind, Result},
+    frame::Frame,
+    key::Key,
+};
+
+/// The first bytes of every connection, so that a stray client of another
+/// protocol is recognised before anything is read from it.
+const MAGIC: [u8; 3] = *b"wgl";
+
+/// The length of a nonce, in bytes.
+const NONCE: usize = 16;
+
+/// The length of a proof, in bytes.
+const PROOF: usize = 32;
+
+/// Both directions of an authenticated connection.
+#[derive(Debug)]
+pub struct Link<S> {
+    reader: Reader<S>,
+    writer: Writer<S>,
+}
+
+/// The receiving direction of a [`Link`].
+#[derive(Debug)]
+pub struct Reader<S> {
+    stream: BufReader<ReadHalf<S>>,
+    body: BytesMut,
+}
+
+/// The sending direction of a [`Link`].
+#[derive(Debug)]
+pub struct Writer<S> {
+    stream: WriteHalf<S>,
+}
+
+impl<S: AsyncRead + AsyncWrite> Link<S> {
+    /// Runs the handshake as the side that opened the connection.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Version`], [`Kind::Unauthenticated`] or a socket failure.
+    pub async fn connect(stream: S, key: &Key) -> Result<Self> {
+        let mut link = Self::new(stream);
+        let own: [u8; NONCE] = rand::random();
+        link.greet(own).await?;
+        let other = link.greeting().await?;
+        link.prove(key, b"connect", own, other).await?;
+        link.verify(key, b"accept", other, own).await?;
+        Ok(link)
+    }
+
+    /// Runs the handshake as the side that accepted the connection.
+    ///
+    /// The accepting side proves the key only after the other side has, so it
+    /// tells nothing to a stranger.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Version`], [`Kind::Unauthenticated`] or a socket failure.
+    pub async fn accept(stream: S, key: &Key) -> Result<Self> {
+        let mut link = Self::new(stream);
+        let own: [u8; NONCE] = rand::random();
+        let other = link.greeting().await?;
+        link.greet(own).await?;
+        link.verify(key, b"connect", other, own).await?;
+        link.prove(key, b"accept", own, other).await?;
+        Ok(link)
+    }
+
+    /// Sends one message.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Oversize`] or a socket failure.
+    pub async fn send<T: Serialize + Sync>(&mut self, message: &T) -> Result<()> {
+        self.writer.send(message).await
+    }
+
+    /// Receives one message.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Closed`], [`Kind::TooLong`], [`Kind::Malformed`] or a socket
+    /// failure.
+    pub async fn recv<T: DeserializeOwned>(&mut self) -> Result<T> {
+        self.reader.recv().await
+    }
+
+    /// Separates the two directions.
+    #[must_use]
+    pub fn split(self) -> (Reader<S>, Writer<S>) {
+        (self.reader, self.writer)
+    }
+
+    /// Joins the two directions of one link again.
+    #[must_use]
+    pub const fn join(reader: Reader<S>, writer: Writer<S>) -> Self {
+        Self { reader, writer }
+    }
+
+    fn new(stream: S) -> Self {
+        let (read, write) = split(stream);
+        Self {
+            reader: Reader {
+                stream: BufReader::new(read),
+                body: BytesMut::new(),
+            },
+            writer: Writer { stream: write },
+        }
+    }
+
+    async fn greet(&mut self, nonce: [u8; NONCE]) -> Result<()> {
+        let mut bytes = Vec::with_capacity(MAGIC.len() + 1 + NONCE);
+        bytes.extend_from_slice(&MAGIC);
+        bytes.push(VERSION);
+        bytes.extend_from_slice(&nonce);
+        self.writer.stream.write_all(&bytes).await?;
+        Ok(())
+    }
+
+    async fn greeting(&mut self) -> Result<[u8; NONCE]> {
+        let mut bytes = [0; MAGIC.len() + 1 + NONCE];
+        self.reader.exact(&mut bytes).await?;
+        if bytes[..MAGIC.len()] != MAGIC {
+            return Err(Error::new(Kind::Malformed));
+        }
+        if bytes[MAGIC.len()] != VERSION {
+            return Err(Error::new(Kind::Version(bytes[MAGIC.len()])));
+        }
+        let mut nonce = [0; NONCE];
+        nonce.copy_from_slice(&bytes[MAGIC.len() + 1..]);
+        Ok(nonce)
+    }
+
+    async fn prove(
+        &mut self,
+        key: &Key,
+        side: &[u8],
+        own: [u8; NONCE],
+        other: [u8; NONCE],
+    ) -> Result<()> {
+        let proof = key.tag(&[side, &own, &other]);
+        self.writer.stream.write_all(proof.as_bytes()).await?;
+        Ok(())
+    }
+
+    async fn verify(
+        &mut self,
+        key: &Key,
+        side: &[u8],
+        theirs: [u8; NONCE],
+        own: [u8; NONCE],
+    ) -> Result<()> {
+        let mut bytes = [0; PROOF];
+        self.reader.exact(&mut bytes).await?;
+        if blake3::Hash::from_bytes(bytes) == key.tag(&[side, &theirs, &own]) {
+            Ok(())
+        } else {
+            Err(Error::new(Kind::Unauthenticated))
+        }
+    }
+}
+
+impl<S: AsyncRead> Reader<S> {
+    /// Receives one message.
+    ///
+    /// Not cancel safe: a dropped future may leave half a frame read, and the
+    /// link must then be closed.
+    ///
+    /// # Errors
+    ///
+    /// As [`Link::recv`].
+    pub async fn recv<T: DeserializeOwned>(&mut self) -> Result<T> {
+        let mut prefix = [0; Frame::PREFIX];
+        self.exact(&mut prefix).await?;
+        let length = Frame::length(prefix)?;
+        self.body.resize(length, 0);
+        self.stream.read_exact(&mut self.body).await?;
+        Frame::decode(&self.body)
+    }
+
+    async fn exact(&mut self, bytes: &mut [u8]) -> Result<()> {
+        match self.stream.read_exact(bytes).await {
+            Ok(_) => Ok(()),
+            Err(error) if error.kind() == std::io::ErrorKind::UnexpectedEof => {
+                Err(Error::new(Kind::Closed))
+            }
+            Err(error) => Err(error.into()),
+        }
+    }
+}
+
+impl<S: AsyncWrite> Writer<S> {
+    /// Sends one message.
+    ///
+    /// # Errors
+    ///
+    /// As [`Link::send`].
+    pub async fn send<T: Serialize + Sync>(&mut self, message: &T) -> Result<()> {
+        let frame = Frame::encode(message)?;
+        self.stream.write_all(&frame).await?;
+        self.stream.flush().await?;
+        Ok(())
+    }
+}
