--- /dev/null
+++ b/wisteriaglade-rules/src/decode.rs
@@ -0,0 +1,29 @@
+//! Percent-decoding (RFC 3986, section 2.1).
+
+use std::borrow::Cow;
+
+/// The decoded text, or `None` for a malformed escape or text that is not UTF-8.
+pub(crate) fn decode(text: &str) -> Option<Cow<'_, str>> {
+    if !text.contains('%') {
+        return Some(Cow::Borrowed(text));
+    }
+    let mut bytes = text.bytes();
+    let mut decoded = Vec::with_capacity(text.len());
+    while let Some(byte) = bytes.next() {
+        if byte == b'%' {
+            decoded.push(digit(bytes.next()?)? << 4 | digit(bytes.next()?)?);
+        } else {
+            decoded.push(byte);
+        }
+    }
+    String::from_utf8(decoded).ok().map(Cow::Owned)
+}
+
+fn digit(byte: u8) -> Option<u8> {
+    match byte {
+        b'0'..=b'9' => Some(byte - b'0'),
+        b'a'..=b'f' => Some(byte - b'a' + 10),
+        b'A'..=b'F' => Some(byte - b'A' + 10),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/wisteriaglade-rules/src/set.rs
@@ -0,0 +1,137 @@
+//! A checked set of rules.
+
+use std::{borrow::Cow, collections::HashMap, sync::Arc, time::Duration};
+
+use wisteriaglade_types::Name;
+
+use crate::{
+    Diff, Error, Kind, Method, Problem, Result, Rule, check::Check, decode::decode, index::Index,
+    line,
+};
+
+/// The largest file in bytes. A change travels in one frame of at most 1 MiB,
+/// which has other fields too.
+const MAX_BYTES: usize = 768 * 1024;
+
+/// A request's rule and key.
+#[derive(Debug, Clone)]
+pub struct Match<'set, 'path> {
+    /// The rule, which can be kept while the set is replaced.
+    pub rule: &'set Arc<Rule>,
+    /// The key, percent-decoded.
+    pub key: Cow<'path, str>,
+}
+
+/// Rules that passed every check, indexed by the segments of their templates.
+///
+/// The default is the empty set, which is in force before the first change.
+#[derive(Debug, Clone, Default)]
+pub struct Set {
+    rules: Vec<Arc<Rule>>,
+    index: Index,
+    longest: HashMap<Name, Duration>,
+}
+
+impl Set {
+    /// Parses and checks a rules file.
+    ///
+    /// # Errors
+    ///
+    /// Lists every problem of the file with its line, its column and what was
+    /// expected there. Nothing of an invalid file is kept.
+    pub fn parse(text: &str) -> Result<Self> {
+        if text.len() > MAX_BYTES {
+            return Err(Error::new(vec![Problem {
+                kind: Kind::Size,
+                line: 1,
+                column: 1,
+                expected: format!("a file of at most {MAX_BYTES} bytes"),
+                found: format!("{} bytes", text.len()),
+            }]));
+        }
+        let mut set = Self::default();
+        let mut check = Check::default();
+        let mut problems = Vec::new();
+        for (position, text) in text.lines().enumerate() {
+            let start = text.trim_start();
+            if start.is_empty() || start.starts_with('#') {
+                continue;
+            }
+            if let Some((rule, place)) = line::parse(position + 1, text, &mut problems) {
+                check.rule(&set.rules, &set.index, &rule, &place, &mut problems);
+                set.insert(rule);
+            }
+        }
+        if problems.is_empty() {
+            Ok(set)
+        } else {
+            Err(Error::new(problems))
+        }
+    }
+
+    fn insert(&mut self, rule: Rule) {
+        self.index.insert(self.rules.len(), &rule);
+        let longest = self.longest.entry(rule.pool.clone()).or_default();
+        *longest = rule.deadline.max(*longest);
+        self.rules.push(Arc::new(rule));
+    }
+
+    /// The rules in the order of the file.
+    #[must_use]
+    pub fn rules(&self) -> &[Arc<Rule>] {
+        &self.rules
+    }
+
+    /// Finds the most precise rule for a request and takes the key from its
+    /// path. A query string is ignored; matching is case-sensitive.
+    ///
+    /// Segments are compared after percent-decoding, so an escaped letter
+    /// cannot lead a request past its rule to a less precise one. No rule
+    /// matches when the segment of the key has an invalid encoding or is not
+    /// UTF-8, or when a segment is `.` or `..`, which a target could resolve to
+    /// another key.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use wisteriaglade_rules::Set;
+    ///
+    /// let set = Set::parse(
+    ///     "llewellyn catalogue GET,HEAD /designs/{key}/** repeat deadline=500ms length=learned weight=2 # Nia\n",
+    /// )?;
+    /// assert_eq!(set.find("GET", "/designs/a%2Fb/parts").unwrap().key, "a/b");
+    /// assert!(set.find("GET", "/Designs/a").is_none());
+    /// assert!(set.find("GET", "/designs/%zz").is_none());
+    /// # Ok::<(), wisteriaglade_rules::Error>(())
+    /// ```
+    #[must_use]
+    pub fn find<'path>(&self, method: &str, path: &'path str) -> Option<Match<'_, 'path>> {
+        let method = Method::parse(method)?;
+        let path = path.split_once('?').map_or(path, |(path, _)| path);
+        let mut segments: Vec<_> = path.strip_prefix('/')?.split('/').map(decode).collect();
+        if segments
+            .iter()
+            .flatten()
+            .any(|text| matches!(&**text, "." | ".."))
+        {
+            return None;
+        }
+        let number = self.index.find(&self.rules, method, &segments)?;
+        let rule = &self.rules[number];
+        let key = segments.swap_remove(rule.template.key())?;
+        Some(Match { rule, key })
+    }
+
+    /// Compares this set with a newer one.
+    #[must_use]
+    pub fn diff(&self, newer: &Self) -> Diff {
+        Diff::between(&self.rules, &newer.rules)
+    }
+
+    /// The longest deadline among the rules of a pool, or zero when it has no
+    /// rules.
+    #[must_use]
+    pub fn longest(&self, pool: &str) -> Duration {
+        self.longest.get(pool).copied().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/wisteriaglade-rules/src/template.rs
@@ -0,0 +1,148 @@
+//! Path templates.
+
+use std::fmt;
+
+use serde::{Serialize, Serializer};
+use wisteriaglade_types::Name;
+
+use crate::decode::decode;
+
+/// The most segments of a template. The index recurses once for each of them.
+const MAX_SEGMENTS: usize = 32;
+
+/// One segment of a [`Template`].
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Segment {
+    /// A segment that is equal to this text after percent-decoding.
+    Literal(Name),
+    /// Any one segment that is not empty.
+    Any,
+    /// The segment that holds the key.
+    Key,
+}
+
+/// A path with one segment for the key, such as `/bookings/{key}/notes/**`.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Template {
+    text: Name,
+    segments: Vec<Segment>,
+    key: usize,
+    rest: bool,
+}
+
+impl Template {
+    /// The segments, without a final `**`.
+    #[must_use]
+    pub fn segments(&self) -> &[Segment] {
+        &self.segments
+    }
+
+    /// The position of the key among the segments, counted from 0.
+    #[must_use]
+    pub const fn key(&self) -> usize {
+        self.key
+    }
+
+    /// Whether the template ends in `**`.
+    #[must_use]
+    pub const fn rest(&self) -> bool {
+        self.rest
+    }
+
+    /// The template as written in the file.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        self.text.as_str()
+    }
+
+    /// The order of precedence: the greater one of two matching templates wins.
+    pub(crate) fn precision(&self) -> Precision {
+        let literals = self
+            .segments
+            .iter()
+            .filter(|segment| matches!(segment, Segment::Literal(_)))
+            .count();
+        Precision {
+            literals,
+            segments: self.segments.len(),
+            whole: !self.rest,
+        }
+    }
+
+    /// Parses a template. An error has the offset in bytes and what was
+    /// expected there.
+    pub(crate) fn parse(text: &str) -> Result<Self, (usize, String)> {
+        let Some(path) = text.strip_prefix('/') else {
+            return Err((0, "a path template that starts with \"/\"".into()));
+        };
+        let mut segments = Vec::new();
+        let mut key = None;
+        let mut rest = false;
+        let mut offset = 1;
+        for part in path.split('/') {
+            if rest {
+                return Err((offset, "nothing after \"**\"".into()));
+            }
+            match part {
+                "**" => rest = true,
+                "{key}" if key.is_some() => {
+                    return Err((offset, "exactly one \"{key}\" segment".into()));
+                }
+                "{key}" => {
+                    key = Some(segments.len());
+                    segments.push(Segment::Key);
+                }
+                "*" => segments.push(Segment::Any),
+                _ => segments.push(literal(part).map_err(|expected| (offset, expected))?),
+            }
+            if segments.len() > MAX_SEGMENTS {
+                return Err((offset, format!("at most {MAX_SEGMENTS} segments")));
+            }
+            offset += part.len() + 1;
+        }
+        let Some(key) = key else {
+            return Err((0, "a path template with one \"{key}\" segment".into()));
+        };
+        Ok(Self {
+            text: text.into(),
+            segments,
+            key,
+            rest,
+        })
+    }
+}
+
+fn literal(part: &str) -> Result<Segment, String> {
+    let special = |c: char| matches!(c, '{' | '}' | '*' | '?') || !c.is_ascii_graphic();
+    if part.is_empty() || part.contains(special) {
+        return Err("a segment that is literal, \"{key}\", \"*\" or a final \"**\"".into());
+    }
+    match decode(part) {
+        Some(text) if matches!(&*text, "." | "..") => {
+            Err("a segment other than \".\" and \"..\", which match no path".into())
+        }
+        Some(text) => Ok(Segment::Literal((&*text).into())),
+        None => Err("a segment with valid percent-encoding".into()),
+    }
+}
+
+impl fmt::Display for Template {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.text.fmt(f)
+    }
+}
+
+impl Serialize for Template {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+/// How precisely a template describes a path. The order of the fields is the
+/// order of comparison.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Precision {
+    literals: usize,
+    segments: usize,
+    whole: bool,
+}
