Add the control state machine

An assignment is refused while an owner that is not fenced holds the shard, and a release names the epoch that it gives up, so that a late copy of an earlier release cannot end a later grant to the same node.

--- /dev/null
+++ b/wisteriaglade-control/src/error.rs
@@ -0,0 +1,43 @@
+//! The error of this package.
+
+use std::fmt;
+
+/// The result of an operation of this package.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a snapshot could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Error(Kind);
+
+/// The kinds of [`Error`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum Kind {
+    /// The snapshot has a format that this version does not know.
+    Format,
+    /// The bytes are not a snapshot, or contradict themselves.
+    Malformed,
+}
+
+impl Error {
+    pub(crate) const fn new(kind: Kind) -> Self {
+        Self(kind)
+    }
+
+    /// The kind of the error.
+    #[must_use]
+    pub const fn kind(self) -> Kind {
+        self.0
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self.0 {
+            Kind::Format => "the snapshot has an unknown format version",
+            Kind::Malformed => "the snapshot is malformed",
+        })
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/wisteriaglade-control/src/state/apply.rs
@@ -0,0 +1,361 @@
+//! The effect of each command.
+
+use wisteriaglade_types::{Epoch, Hash, Index, Name, Node, Shard};
+
+use super::{Pool, Process, Row, State, Status};
+use crate::{Command, Move, Reason, Reply, Target};
+
+type Effect = std::result::Result<Reply, Reason>;
+
+impl State {
+    /// Applies the entry at `index`.
+    ///
+    /// The result depends on nothing but the state, the index and the command.
+    /// An index that is not above the last one has no effect.
+    pub fn apply(&mut self, index: Index, command: &Command) -> Reply {
+        if index <= self.index {
+            return Reply::Refused(Reason::Applied);
+        }
+        self.index = index;
+        self.effect(command).unwrap_or_else(Reply::Refused)
+    }
+
+    /// Notes an entry without a command, such as the no-op of a new leader.
+    pub fn skip(&mut self, index: Index) {
+        self.index = self.index.max(index);
+    }
+
+    fn effect(&mut self, command: &Command) -> Effect {
+        match command {
+            Command::Join { .. } => self.join(command),
+            Command::Announce { node, pool, target } => self.announce(*node, pool, *target),
+            Command::Drain { node } => self.drain(*node),
+            Command::Leave { node } => self.leave(*node),
+            Command::Fence { node } => self.fence(*node),
+            Command::Remove { node } => self.remove(*node),
+            Command::Assign { pool, moves } => self.assign(pool, moves),
+            Command::Transfer { pool, shard, to } => self.transfer(pool, *shard, *to),
+            Command::Release { node, shards } => self.release(*node, shards),
+            Command::Hold {
+                node,
+                pool,
+                shard,
+                epoch,
+                holders,
+            } => self.hold(*node, pool, *shard, *epoch, holders),
+            Command::Single { pool, hash } => self.single(pool, *hash),
+            Command::Merge { pool, hash } => self.merge(pool, *hash),
+            Command::Change {
+                id,
+                base,
+                operator,
+                text,
+                longest,
+            } => Ok(self.rules.change(*id, *base, operator, text, longest)),
+        }
+    }
+
+    fn join(&mut self, command: &Command) -> Effect {
+        let Command::Join {
+            ticket,
+            host,
+            data_centre,
+            caller,
+            peer,
+            admin,
+        } = command
+        else {
+            return Err(Reason::Invalid);
+        };
+        if let Some(first) = self.nodes.values().find(|first| first.ticket == *ticket) {
+            return Ok(Reply::Joined(first.node));
+        }
+        let node = Node::new(self.index.get());
+        let process = Process {
+            node,
+            ticket: *ticket,
+            host: host.clone(),
+            data_centre: data_centre.clone(),
+            caller: *caller,
+            peer: *peer,
+            admin: *admin,
+            status: Status::Joined,
+            service: None,
+            held: 0,
+        };
+        self.nodes.insert(node, process);
+        Ok(Reply::Joined(node))
+    }
+
+    fn announce(&mut self, node: Node, pool: &Name, target: Target) -> Effect {
+        if target.slots == 0 || pool.as_str().is_empty() {
+            return Err(Reason::Invalid);
+        }
+        let process = self.nodes.get_mut(&node).ok_or(Reason::Node)?;
+        match process.status {
+            Status::Fenced { .. } => return Err(Reason::Fenced),
+            // A repeated announcement must not undo a drain.
+            Status::Draining => return Err(Reason::Draining),
+            Status::Joined | Status::Ready => {}
+        }
+        if process.pool().is_some_and(|own| own != pool) {
+            return Err(Reason::OtherPool);
+        }
+        process.status = Status::Ready;
+        process.service = Some((pool.clone(), target));
+        if !self.pools.contains_key(pool) {
+            let shards = self.config.pool_shards();
+            self.pools.insert(pool.clone(), Pool::new(shards));
+        }
+        Ok(Reply::Accepted)
+    }
+
+    fn drain(&mut self, node: Node) -> Effect {
+        let process = self.nodes.get_mut(&node).ok_or(Reason::Node)?;
+        if process.is_fenced() {
+            return Err(Reason::Fenced);
+        }
+        process.status = Status::Draining;
+        self.stop_moves(node);
+        Ok(Reply::Accepted)
+    }
+
+    fn leave(&mut self, node: Node) -> Effect {
+        let process = self.nodes.get(&node).ok_or(Reason::Node)?;
+        if process.held > 0 {
+            return Err(Reason::HasShards);
+        }
+        self.stop_moves(node);
+        self.nodes.remove(&node);
+        Ok(Reply::Accepted)
+    }
+
+    fn fence(&mut self, node: Node) -> Effect {
+        let index = self.index;
+        let process = self.nodes.get_mut(&node).ok_or(Reason::Node)?;
+        if !process.is_fenced() {
+            process.status = Status::Fenced { index };
+            self.stop_moves(node);
+        }
+        Ok(Reply::Accepted)
+    }
+
+    fn remove(&mut self, node: Node) -> Effect {
+        let process = self.nodes.get(&node).ok_or(Reason::Node)?;
+        if !process.is_fenced() {
+            return Err(Reason::NotFenced);
+        }
+        self.leave(node)
+    }
+
+    fn assign(&mut self, pool: &Name, moves: &[Move]) -> Effect {
+        if !self.pools.contains_key(pool) {
+            return Err(Reason::Pool);
+        }
+        let results = moves.iter().map(|change| self.assign_one(pool, change));
+        any(&results.collect::<Vec<_>>())
+    }
+
+    fn assign_one(&mut self, pool: &Name, change: &Move) -> Result<(), Reason> {
+        let row = *self.row(pool, change.shard)?;
+        if row.epoch != change.epoch {
+            return Err(Reason::Epoch);
+        }
+        if row.owner != Row::NONE && !self.is_fenced(row.owner) {
+            return Err(Reason::Owned);
+        }
+        self.require_ready(pool, change.to)?;
+        let first = row.holders().is_empty() && !change.holders.is_empty();
+        if first {
+            self.require_holders(&change.holders)?;
+        }
+        self.grant(pool, change.shard, change.to);
+        if first && let Ok(row) = self.row_mut(pool, change.shard) {
+            row.set_holders(&change.holders);
+        }
+        Ok(())
+    }
+
+    fn transfer(&mut self, pool: &Name, shard: Shard, to: Node) -> Effect {
+        let row = *self.row(pool, shard)?;
+        if row.owner == Row::NONE || self.is_fenced(row.owner) {
+            return Err(Reason::NoOwner);
+        }
+        if row.to != Row::NONE {
+            return Err(Reason::Moving);
+        }
+        if row.owner == to {
+            return Err(Reason::Owned);
+        }
+        self.require_ready(pool, to)?;
+        self.row_mut(pool, shard)?.to = to;
+        Ok(Reply::Accepted)
+    }
+
+    fn release(&mut self, node: Node, shards: &[(Shard, Epoch)]) -> Effect {
+        let process = self.nodes.get(&node).ok_or(Reason::Node)?;
+        let pool = process.pool().ok_or(Reason::NotOwner)?.clone();
+        let results = shards
+            .iter()
+            .map(|(shard, epoch)| self.release_one(node, &pool, *shard, *epoch));
+        any(&results.collect::<Vec<_>>())
+    }
+
+    fn release_one(
+        &mut self,
+        node: Node,
+        pool: &Name,
+        shard: Shard,
+        epoch: Epoch,
+    ) -> Result<(), Reason> {
+        let row = *self.row(pool, shard)?;
+        if row.owner != node {
+            return Err(Reason::NotOwner);
+        }
+        if row.epoch != epoch {
+            return Err(Reason::Epoch);
+        }
+        if row.to == Row::NONE {
+            return Err(Reason::NotMoving);
+        }
+        self.require_ready(pool, row.to)?;
+        self.grant(pool, shard, row.to);
+        Ok(())
+    }
+
+    fn hold(
+        &mut self,
+        node: Node,
+        pool: &Name,
+        shard: Shard,
+        epoch: Epoch,
+        holders: &[Node],
+    ) -> Effect {
+        let row = *self.row(pool, shard)?;
+        if row.owner != node || node == Row::NONE {
+            return Err(Reason::NotOwner);
+        }
+        if row.epoch != epoch {
+            return Err(Reason::Epoch);
+        }
+        if self.is_fenced(node) {
+            return Err(Reason::Fenced);
+        }
+        self.require_holders(holders)?;
+        self.row_mut(pool, shard)?.set_holders(holders);
+        Ok(Reply::Accepted)
+    }
+
+    fn single(&mut self, pool: &Name, hash: Hash) -> Effect {
+        let epoch = Epoch::new(self.index.get());
+        let table = self.pools.get(pool).ok_or(Reason::Pool)?;
+        if table.dedicated(hash).is_some() {
+            return Err(Reason::Dedicated);
+        }
+        let shard = hash.shard(table.shards());
+        let row = *table.row(shard).ok_or(Reason::Shard)?;
+        if row.owner == Row::NONE || self.is_fenced(row.owner) {
+            return Err(Reason::NoOwner);
+        }
+        if row.to != Row::NONE {
+            return Err(Reason::Moving);
+        }
+        let table = self.pools.get_mut(pool).ok_or(Reason::Pool)?;
+        let row = Row { epoch, ..row };
+        table.add_dedicated(hash, row).ok_or(Reason::Full)?;
+        self.count(row.owner, 1);
+        Ok(Reply::Accepted)
+    }
+
+    fn merge(&mut self, pool: &Name, hash: Hash) -> Effect {
+        let epoch = Epoch::new(self.index.get());
+        let table = self.pools.get(pool).ok_or(Reason::Pool)?;
+        let dedicated = table.dedicated(hash).ok_or(Reason::NotDedicated)?;
+        let shard = hash.shard(table.shards());
+        let from = *table.row(dedicated).ok_or(Reason::Shard)?;
+        let into = *table.row(shard).ok_or(Reason::Shard)?;
+        if from.to != Row::NONE || into.to != Row::NONE {
+            return Err(Reason::Moving);
+        }
+        if from.owner != into.owner {
+            return Err(Reason::Owned);
+        }
+        if self.is_fenced(into.owner) {
+            return Err(Reason::Fenced);
+        }
+        let holds = |node| into.holders().contains(node);
+        if from.holders().len() != into.holders().len() || !from.holders().iter().all(holds) {
+            return Err(Reason::Holders);
+        }
+        let table = self.pools.get_mut(pool).ok_or(Reason::Pool)?;
+        table.remove_dedicated(hash);
+        // A target that compares the epochs of a key must not see it decrease.
+        if let Some(row) = table.row_mut(shard) {
+            row.epoch = epoch;
+        }
+        self.count(from.owner, -1);
+        Ok(Reply::Accepted)
+    }
+
+    /// Makes `to` the owner with a new epoch.
+    fn grant(&mut self, pool: &Name, shard: Shard, to: Node) {
+        let epoch = Epoch::new(self.index.get());
+        let Ok(row) = self.row_mut(pool, shard) else {
+            return;
+        };
+        let from = std::mem::replace(&mut row.owner, to);
+        row.epoch = epoch;
+        row.to = Row::NONE;
+        self.count(from, -1);
+        self.count(to, 1);
+    }
+
+    fn count(&mut self, node: Node, change: i32) {
+        if let Some(process) = self.nodes.get_mut(&node) {
+            process.held = process.held.saturating_add_signed(change);
+        }
+    }
+
+    fn stop_moves(&mut self, to: Node) {
+        let pool = self.nodes.get(&to).and_then(Process::pool);
+        if let Some(pool) = pool.and_then(|pool| self.pools.get_mut(pool)) {
+            pool.stop_moves(to);
+        }
+    }
+
+    fn row(&self, pool: &Name, shard: Shard) -> Result<&Row, Reason> {
+        let pool = self.pools.get(pool).ok_or(Reason::Pool)?;
+        pool.row(shard).ok_or(Reason::Shard)
+    }
+
+    fn row_mut(&mut self, pool: &Name, shard: Shard) -> Result<&mut Row, Reason> {
+        let pool = self.pools.get_mut(pool).ok_or(Reason::Pool)?;
+        pool.row_mut(shard).ok_or(Reason::Shard)
+    }
+
+    fn require_ready(&self, pool: &Name, node: Node) -> Result<(), Reason> {
+        let process = self.nodes.get(&node).ok_or(Reason::Node)?;
+        let ready = process.is_ready(pool.as_str());
+        ready.then_some(()).ok_or(Reason::NotReady)
+    }
+
+    fn require_holders(&self, holders: &[Node]) -> Result<(), Reason> {
+        let most = self.config.holders.clamp(1, Self::HOLDERS);
+        let distinct = (1..holders.len()).all(|at| !holders[..at].contains(&holders[at]));
+        let live = |node: &Node| self.nodes.get(node).is_some_and(|own| !own.is_fenced());
+        if !holders.is_empty() && holders.len() <= most && distinct && holders.iter().all(live) {
+            Ok(())
+        } else {
+            Err(Reason::Holders)
+        }
+    }
+}
+
+/// Accepts several moves when there is none or when one of them succeeded.
+fn any(results: &[Result<(), Reason>]) -> Effect {
+    let refused = results.iter().copied().find_map(Result::err);
+    match refused {
+        Some(reason) if results.iter().all(Result::is_err) => Err(reason),
+        _ => Ok(Reply::Accepted),
+    }
+}
--- /dev/null
+++ b/wisteriaglade-control/src/state/config.rs
@@ -0,0 +1,36 @@
+//! Settings of the state machine.
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of the state machine.
+///
+/// All processes of a cluster must start with equal settings, because they
+/// decide the outcome of commands. A snapshot carries them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    /// The number of shards of a new pool, a power of two. Other values are
+    /// rounded up, and limited to [`Config::MOST_SHARDS`].
+    pub shards: u32,
+    /// The number of holders of the records of a shard, from 1 to
+    /// [`State::HOLDERS`](crate::State::HOLDERS).
+    pub holders: usize,
+}
+
+impl Config {
+    /// The largest number of shards of a pool. It bounds the memory that one
+    /// announcement can claim to 48 MB.
+    pub const MOST_SHARDS: u32 = 1 << 20;
+
+    pub(crate) fn pool_shards(self) -> u32 {
+        self.shards.clamp(1, Self::MOST_SHARDS).next_power_of_two()
+    }
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            shards: 256,
+            holders: crate::State::HOLDERS,
+        }
+    }
+}
--- /dev/null
+++ b/wisteriaglade-control/src/state/mod.rs
@@ -0,0 +1,180 @@
+//! The replicated state and its look-ups.
+
+mod apply;
+mod config;
+mod grant;
+mod pool;
+mod process;
+mod row;
+mod rules;
+mod snapshot;
+mod status;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use wisteriaglade_types::{Hash, Index, Name, Node, Shard, Version};
+
+pub use self::{
+    config::Config, grant::Grant, pool::Pool, process::Process, rules::Revision, status::Status,
+};
+use self::{row::Row, rules::Rules};
+use crate::Reply;
+
+/// The replicated control state: nodes, pools with their shards, and rules.
+///
+/// Replicas that apply the same commands at the same indexes are equal. The
+/// look-ups that a request needs, [`State::locate`] and [`State::node`], do not
+/// allocate.
+///
+/// # Example
+///
+/// ```
+/// use wisteriaglade_control::{Command, Config, Reply, State};
+/// use wisteriaglade_types::{Index, Node};
+///
+/// let mut state = State::new(Config::default());
+/// let address = "127.0.0.1:7000".parse().unwrap();
+/// let join = Command::Join {
+///     ticket: 17,
+///     host: "lantern-1".into(),
+///     data_centre: "Bangor".into(),
+///     caller: address,
+///     peer: address,
+///     admin: address,
+/// };
+/// let reply = state.apply(Index::new(4), &join);
+/// assert_eq!(reply, Reply::Joined(Node::new(4)));
+/// assert_eq!(State::decode(&state.encode()).unwrap(), state);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    config: Config,
+    index: Index,
+    nodes: BTreeMap<Node, Process>,
+    pools: BTreeMap<Name, Pool>,
+    rules: Rules,
+}
+
+impl State {
+    /// The largest number of holders of the records of a shard.
+    pub const HOLDERS: usize = Row::HOLDERS;
+
+    /// An empty state.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            index: Index::new(0),
+            nodes: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            rules: Rules::new(),
+        }
+    }
+
+    /// The settings of the state.
+    #[must_use]
+    pub const fn config(&self) -> Config {
+        self.config
+    }
+
+    /// The index of the last applied command.
+    #[must_use]
+    pub const fn index(&self) -> Index {
+        self.index
+    }
+
+    /// The ownership of the shard of a key, or nothing when there is no such
+    /// pool. A dedicated shard of a hot key takes precedence.
+    #[must_use]
+    pub fn locate(&self, pool: &str, hash: Hash) -> Option<Grant> {
+        let pool = self.pools.get(pool)?;
+        pool.grant(pool.shard(hash))
+    }
+
+    /// The record of a node.
+    #[must_use]
+    pub fn node(&self, node: Node) -> Option<&Process> {
+        self.nodes.get(&node)
+    }
+
+    /// The records of all nodes, in the order of their ids.
+    #[must_use]
+    pub fn nodes(&self) -> impl ExactSizeIterator<Item = &Process> {
+        self.nodes.values()
+    }
+
+    /// A pool.
+    #[must_use]
+    pub fn pool(&self, pool: &str) -> Option<&Pool> {
+        self.pools.get(pool)
+    }
+
+    /// All pools, in the order of their names.
+    #[must_use]
+    pub fn pools(&self) -> impl ExactSizeIterator<Item = (&Name, &Pool)> {
+        self.pools.iter()
+    }
+
+    /// The ownership of each shard of a pool, dedicated ones last.
+    pub fn shards(&self, pool: &str) -> impl Iterator<Item = Grant> {
+        self.pools.get(pool).into_iter().flat_map(Pool::grants)
+    }
+
+    /// The shards that a node owns. All are in the pool of its target. The
+    /// whole pool is read.
+    pub fn shards_of(&self, node: Node) -> impl Iterator<Item = Grant> {
+        let process = self.nodes.get(&node).filter(|process| process.held > 0);
+        let pool = process.and_then(Process::pool).map_or("", Name::as_str);
+        self.shards(pool)
+            .filter(move |grant| grant.owner == Some(node))
+    }
+
+    /// The holders of the records of a shard. They may be fenced or removed.
+    #[must_use]
+    pub fn holders(&self, pool: &str, shard: Shard) -> &[Node] {
+        self.pools.get(pool).map_or(&[], |pool| pool.holders(shard))
+    }
+
+    /// Whether a node is fenced or has been removed, so that its lease must
+    /// not be renewed. A node that joins after the last applied index is not
+    /// fenced yet.
+    #[must_use]
+    pub fn is_fenced(&self, node: Node) -> bool {
+        match self.nodes.get(&node) {
+            Some(process) => process.is_fenced(),
+            None => node.get() <= self.index.get(),
+        }
+    }
+
+    /// The version and the text of the rules.
+    #[must_use]
+    pub fn rules(&self) -> (Version, &str) {
+        self.rules.current()
+    }
+
+    /// The last 1,000 changes of the rules, oldest first.
+    #[must_use]
+    pub fn history(&self) -> impl DoubleEndedIterator<Item = &Revision> {
+        self.rules.history()
+    }
+
+    /// The first outcome of a change, for the last 10,000 changes.
+    #[must_use]
+    pub fn outcome(&self, id: u128) -> Option<&Reply> {
+        self.rules.outcome(id)
+    }
+
+    /// The longest deadline of a pool in the rules in force.
+    #[must_use]
+    pub fn longest(&self, pool: &str) -> Duration {
+        self.rules.longest(pool)
+    }
+
+    /// The longest deadline of a pool in the last eight versions of the rules.
+    /// Requests that began under an earlier version may still run.
+    #[must_use]
+    pub fn longest_lately(&self, pool: &str) -> Duration {
+        self.rules.longest_lately(pool)
+    }
+}
--- /dev/null
+++ b/wisteriaglade-control/src/state/row.rs
@@ -0,0 +1,49 @@
+//! One shard in the table of a pool.
+
+use serde::{Deserialize, Serialize};
+use wisteriaglade_types::{Epoch, Node, Shard};
+
+use super::Grant;
+
+/// One shard in the table of a pool. Node 0, which the log never assigns,
+/// stands for none: this keeps a row at 48 bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Row {
+    pub(crate) owner: Node,
+    pub(crate) epoch: Epoch,
+    pub(crate) to: Node,
+    pub(crate) holders: [Node; Self::HOLDERS],
+}
+
+impl Row {
+    pub(crate) const HOLDERS: usize = 3;
+
+    /// The node that stands for none.
+    pub(crate) const NONE: Node = Node::new(0);
+
+    pub(crate) fn grant(&self, shard: Shard) -> Grant {
+        Grant {
+            shard,
+            owner: some(self.owner),
+            epoch: self.epoch,
+            moving_to: some(self.to),
+        }
+    }
+
+    pub(crate) fn holders(&self) -> &[Node] {
+        let count = self.holders.iter().take_while(|node| **node != Self::NONE);
+        &self.holders[..count.count()]
+    }
+
+    /// Sets the holders; the caller has checked their number.
+    pub(crate) fn set_holders(&mut self, holders: &[Node]) {
+        self.holders = [Self::NONE; Self::HOLDERS];
+        for (slot, node) in self.holders.iter_mut().zip(holders) {
+            *slot = *node;
+        }
+    }
+}
+
+fn some(node: Node) -> Option<Node> {
+    (node != Row::NONE).then_some(node)
+}
--- /dev/null
+++ b/wisteriaglade-control/src/state/rules.rs
@@ -0,0 +1,131 @@
+//! The rules and the changes that led to them.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use wisteriaglade_types::{Name, Version};
+
+use crate::Reply;
+
+/// One change of the rules that is or was in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revision {
+    /// The version that the change made.
+    pub version: Version,
+    /// The id of the change.
+    pub id: u128,
+    /// Who made it.
+    pub operator: Name,
+}
+
+/// The rules, as text, and the changes that led to them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Rules {
+    version: Version,
+    text: Arc<str>,
+    /// The longest deadlines of the versions in force lately, newest first.
+    longest: VecDeque<Vec<(Name, Duration)>>,
+    history: VecDeque<Revision>,
+    /// The outcomes of changes, oldest first.
+    outcomes: VecDeque<(u128, Reply)>,
+}
+
+impl Rules {
+    /// The number of revisions that are kept.
+    const HISTORY: usize = 1_000;
+    /// The number of changes whose outcome is kept for retries: about four
+    /// days at 2,700 changes a day.
+    const OUTCOMES: usize = 10_000;
+    /// The number of versions whose deadlines are kept. Requests can run under
+    /// a version for its longest deadline after it was replaced; at 2,700
+    /// changes a day eight versions cover four minutes on average.
+    const RECENT: usize = 8;
+
+    pub(crate) fn new() -> Self {
+        Self {
+            version: Version::new(0),
+            text: "".into(),
+            longest: VecDeque::new(),
+            history: VecDeque::new(),
+            outcomes: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn current(&self) -> (Version, &str) {
+        (self.version, &self.text)
+    }
+
+    pub(crate) fn history(&self) -> impl DoubleEndedIterator<Item = &Revision> {
+        self.history.iter()
+    }
+
+    pub(crate) fn outcome(&self, id: u128) -> Option<&Reply> {
+        let found = self.outcomes.iter().rev().find(|(own, _)| *own == id);
+        found.map(|(_, reply)| reply)
+    }
+
+    /// The longest deadline of the rules in force.
+    pub(crate) fn longest(&self, pool: &str) -> Duration {
+        self.longest
+            .front()
+            .map_or(Duration::ZERO, |version| longest(version, pool))
+    }
+
+    /// The longest deadline of the versions in force lately.
+    pub(crate) fn longest_lately(&self, pool: &str) -> Duration {
+        let versions = self.longest.iter();
+        let each = versions.map(|version| longest(version, pool));
+        each.max().unwrap_or_default()
+    }
+
+    pub(crate) fn change(
+        &mut self,
+        id: u128,
+        base: Version,
+        operator: &Name,
+        text: &Arc<str>,
+        longest: &[(Name, Duration)],
+    ) -> Reply {
+        if let Some(first) = self.outcome(id) {
+            return first.clone();
+        }
+        let reply = if base == self.version {
+            self.version = self.version.next();
+            self.text = Arc::clone(text);
+            self.longest.push_front(longest.to_vec());
+            self.longest.truncate(Self::RECENT);
+            self.history.push_back(Revision {
+                version: self.version,
+                id,
+                operator: operator.clone(),
+            });
+            trim(&mut self.history, Self::HISTORY);
+            Reply::Version(self.version)
+        } else {
+            self.conflict()
+        };
+        self.outcomes.push_back((id, reply.clone()));
+        trim(&mut self.outcomes, Self::OUTCOMES);
+        reply
+    }
+
+    fn conflict(&self) -> Reply {
+        let winner = self.history.back();
+        Reply::Conflict {
+            version: self.version,
+            id: winner.map_or(0, |winner| winner.id),
+            operator: winner.map_or_else(|| "".into(), |winner| winner.operator.clone()),
+        }
+    }
+}
+
+fn longest(version: &[(Name, Duration)], pool: &str) -> Duration {
+    let of_pool = version.iter().filter(|(name, _)| name.as_str() == pool);
+    let each = of_pool.map(|(_, deadline)| *deadline);
+    each.max().unwrap_or_default()
+}
+
+fn trim<T>(queue: &mut VecDeque<T>, most: usize) {
+    let excess = queue.len().saturating_sub(most);
+    queue.drain(..excess);
+}
--- /dev/null
+++ b/wisteriaglade-control/src/state/snapshot.rs
@@ -0,0 +1,58 @@
+//! The state as bytes.
+
+use wisteriaglade_types::Node;
+
+use super::{Row, State};
+use crate::{Error, Kind, Result};
+
+/// The version of the encoding. It is the first byte of a snapshot.
+const FORMAT: u8 = 1;
+
+impl State {
+    /// The state as a snapshot.
+    ///
+    /// # Panics
+    ///
+    /// Never: no type of the state has an encoding that can fail.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_extend(self, vec![FORMAT]).expect("the state can be encoded")
+    }
+
+    /// Reads a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Format`] when the snapshot has another format version, and
+    /// [`Kind::Malformed`] when the bytes are not a snapshot.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let malformed = || Error::new(Kind::Malformed);
+        let (format, body) = bytes.split_first().ok_or_else(malformed)?;
+        if *format != FORMAT {
+            return Err(Error::new(Kind::Format));
+        }
+        let (state, rest): (Self, _) = postcard::take_from_bytes(body).map_err(|_| malformed())?;
+        (rest.is_empty() && state.is_consistent())
+            .then_some(state)
+            .ok_or_else(malformed)
+    }
+
+    /// Whether the parts of the state agree. `apply` relies on it.
+    fn is_consistent(&self) -> bool {
+        let known = |node: Node| node == Row::NONE || self.nodes.contains_key(&node);
+        let mut held = std::collections::BTreeMap::<Node, u32>::new();
+        for grant in self.pools.values().flat_map(super::Pool::grants) {
+            let owner = grant.owner.unwrap_or(Row::NONE);
+            if !known(owner) || !known(grant.moving_to.unwrap_or(Row::NONE)) {
+                return false;
+            }
+            *held.entry(owner).or_default() += 1;
+        }
+        self.pools.values().all(super::Pool::is_consistent)
+            && self.nodes.iter().all(|(node, process)| {
+                *node == process.node
+                    && *node <= Node::new(self.index.get())
+                    && process.held == held.get(node).copied().unwrap_or(0)
+            })
+    }
+}
