Add the step function of the replicated log

A replica is a pure function of its inputs, so that any driver, also a test with a clock of its own, can run a group.

Members are changed one step at a time: a replacement is committed as a removal and then an addition, because the majorities of two groups that differ in two replicas need not overlap.

--- /dev/null
+++ b/wisteriaglade-consensus/src/log.rs
@@ -0,0 +1,146 @@
+//! The entries in memory.
+
+use wisteriaglade_types::{Index, Term};
+
+use crate::{Entry, Payload, Replica};
+
+/// The entries after a base, together with the groups that they define.
+#[derive(Debug)]
+pub(crate) struct Log {
+    /// The entry before the first one in memory.
+    base: Index,
+    base_term: Term,
+    entries: Vec<Entry>,
+    /// The group at the base, then each later one with its index.
+    groups: Vec<(Index, Vec<Replica>)>,
+}
+
+impl Log {
+    /// A log without entries after `base`.
+    pub(crate) fn new(base: Index, base_term: Term, members: Vec<Replica>) -> Self {
+        Self {
+            base,
+            base_term,
+            entries: Vec::new(),
+            groups: vec![(base, normal(members))],
+        }
+    }
+
+    pub(crate) fn base(&self) -> Index {
+        self.base
+    }
+
+    pub(crate) fn last(&self) -> Index {
+        Index::new(self.base.get() + self.entries.len() as u64)
+    }
+
+    pub(crate) fn last_term(&self) -> Term {
+        self.entries
+            .last()
+            .map_or(self.base_term, |entry| entry.term)
+    }
+
+    /// The term of an entry, or `None` when it is not in memory.
+    pub(crate) fn term(&self, index: Index) -> Option<Term> {
+        if index == self.base {
+            return Some(self.base_term);
+        }
+        let position = self.position(index)?;
+        self.entries.get(position).map(|entry| entry.term)
+    }
+
+    /// The current group, committed or not.
+    pub(crate) fn members(&self) -> &[Replica] {
+        self.groups.last().map_or(&[], |(_, members)| members)
+    }
+
+    /// The index of the entry that defined the current group.
+    pub(crate) fn members_index(&self) -> Index {
+        self.groups.last().map_or(self.base, |(index, _)| *index)
+    }
+
+    /// The group as of an entry.
+    pub(crate) fn members_at(&self, index: Index) -> &[Replica] {
+        let after = self.groups.partition_point(|(at, _)| *at <= index);
+        self.groups
+            .get(after.saturating_sub(1))
+            .map_or(&[], |(_, members)| members)
+    }
+
+    /// Adds an entry after the last one.
+    pub(crate) fn push(&mut self, entry: Entry) {
+        assert_eq!(
+            entry.index,
+            self.last().next(),
+            "an entry does not follow the last one of the log"
+        );
+        if let Payload::Members(members) = &entry.payload {
+            self.groups.push((entry.index, normal(members.clone())));
+        }
+        self.entries.push(entry);
+    }
+
+    /// Removes the entries from an index on.
+    pub(crate) fn truncate(&mut self, from: Index) {
+        assert!(from > self.base, "a truncation reaches the base of the log");
+        if let Some(position) = self.position(from) {
+            self.entries.truncate(position);
+        }
+        let groups = self.groups.partition_point(|(at, _)| *at < from);
+        self.groups.truncate(groups.max(1));
+    }
+
+    /// Removes the entries up to and including an index.
+    pub(crate) fn compact(&mut self, to: Index) {
+        let Some(term) = self.term(to) else { return };
+        let members = self.members_at(to).to_vec();
+        let at = self.groups.partition_point(|(at, _)| *at <= to);
+        // The index of the group stays: it tells whether the group is
+        // committed.
+        let index = self.groups[at.saturating_sub(1)].0;
+        self.groups.splice(..at, [(index, members)]);
+        let removed = self.position(to.next()).unwrap_or(0);
+        self.entries.drain(..removed.min(self.entries.len()));
+        self.base = to;
+        self.base_term = term;
+    }
+
+    /// The entries of a range, both ends included, or `None` when one of them
+    /// is not in memory.
+    pub(crate) fn slice(&self, from: Index, to: Index) -> Option<&[Entry]> {
+        let start = self.position(from)?;
+        let end = usize::try_from(to.get().checked_sub(self.base.get())?).ok()?;
+        if end <= start {
+            return Some(&[]);
+        }
+        self.entries.get(start..end)
+    }
+
+    /// The last entry at or before `index` whose term is at most `term`. This
+    /// skips whole terms when logs differ.
+    pub(crate) fn find(&self, index: Index, term: Term) -> Index {
+        if index < self.base {
+            return index;
+        }
+        let end = index.min(self.last()).get() - self.base.get();
+        let end = usize::try_from(end).unwrap_or(usize::MAX);
+        let found = self.entries[..end].partition_point(|entry| entry.term <= term);
+        if found == 0 && self.base_term > term {
+            return Index::new(self.base.get().saturating_sub(1));
+        }
+        Index::new(self.base.get() + found as u64)
+    }
+
+    /// The position in memory of an entry after the base.
+    fn position(&self, index: Index) -> Option<usize> {
+        let offset = index.get().checked_sub(self.base.get())?.checked_sub(1)?;
+        usize::try_from(offset).ok()
+    }
+}
+
+/// Sorts a group and removes repeated replicas.
+pub(crate) fn normal(mut members: Vec<Replica>) -> Vec<Replica> {
+    members.sort_unstable();
+    members.dedup();
+    members
+}
--- /dev/null
+++ b/wisteriaglade-consensus/src/raft/elect.rs
@@ -0,0 +1,119 @@
+//! Elections.
+
+use wisteriaglade_types::{Index, Term};
+
+use crate::{Message, Output, Raft, Replica, Role, Vote};
+
+impl Raft {
+    /// Starts an election when this replica is a member.
+    pub(super) fn stand(&mut self, outputs: &mut Vec<Output>) {
+        self.rearm();
+        if !self.is_member() || self.vote.term.get() + 1 >= super::LIMIT {
+            return;
+        }
+        self.leader = None;
+        if self.is_alone() {
+            return self.campaign(outputs);
+        }
+        self.role = Role::PreCandidate;
+        self.granted = [self.config.replica].into();
+        let message = Message::PreVote {
+            term: self.vote.term.next(),
+            last: self.log.last(),
+            last_term: self.log.last_term(),
+        };
+        for to in self.others() {
+            self.send(to, message.clone(), outputs);
+        }
+    }
+
+    /// Asks for votes in a new term.
+    fn campaign(&mut self, outputs: &mut Vec<Output>) {
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.granted = [self.config.replica].into();
+        let vote = Vote {
+            term: self.vote.term.next(),
+            voted: Some(self.config.replica),
+        };
+        self.set_vote(vote, outputs);
+        if self.has_majority() {
+            return self.take_lead(outputs);
+        }
+        let message = Message::Vote {
+            term: self.vote.term,
+            last: self.log.last(),
+            last_term: self.log.last_term(),
+        };
+        for to in self.others() {
+            self.send(to, message.clone(), outputs);
+        }
+    }
+
+    pub(super) fn on_pre_vote(
+        &mut self,
+        from: Replica,
+        term: Term,
+        last: (Term, Index),
+        outputs: &mut Vec<Output>,
+    ) {
+        let granted = term > self.vote.term && !self.is_led() && self.is_current(last);
+        let term = if granted { term } else { self.vote.term };
+        self.send(from, Message::PreVoted { term, granted }, outputs);
+    }
+
+    pub(super) fn on_pre_voted(&mut self, from: Replica, term: Term, outputs: &mut Vec<Output>) {
+        if self.role != Role::PreCandidate || term != self.vote.term.next() {
+            return;
+        }
+        self.granted.insert(from);
+        if self.has_majority() {
+            self.campaign(outputs);
+        }
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        from: Replica,
+        last: (Term, Index),
+        outputs: &mut Vec<Output>,
+    ) {
+        let free = self.vote.voted.is_none_or(|voted| voted == from);
+        let granted = free && self.is_current(last);
+        if granted && self.vote.voted.is_none() {
+            let vote = Vote {
+                voted: Some(from),
+                ..self.vote
+            };
+            self.set_vote(vote, outputs);
+            self.rearm();
+        }
+        let term = self.vote.term;
+        self.send(from, Message::Voted { term, granted }, outputs);
+    }
+
+    pub(super) fn on_voted(&mut self, from: Replica, granted: bool, outputs: &mut Vec<Output>) {
+        if self.role != Role::Candidate || !granted {
+            return;
+        }
+        self.granted.insert(from);
+        if self.has_majority() {
+            self.take_lead(outputs);
+        }
+    }
+
+    /// Whether a log with this last entry has everything that this one may
+    /// have committed.
+    fn is_current(&self, last: (Term, Index)) -> bool {
+        last >= (self.log.last_term(), self.log.last())
+    }
+
+    fn has_majority(&self) -> bool {
+        let members = self.log.members();
+        let granted = members
+            .iter()
+            .filter(|member| self.granted.contains(member))
+            .count();
+        granted * 2 > members.len()
+    }
+}
--- /dev/null
+++ b/wisteriaglade-consensus/src/raft/follow.rs
@@ -0,0 +1,88 @@
+//! The follower's side of replication.
+
+use wisteriaglade_types::{Index, Term};
+
+use crate::{Change, Entry, Message, Output, Raft, Replica, Role};
+
+impl Raft {
+    /// Records a message of the leader of the current term. Returns false when
+    /// the sender cannot be that leader.
+    pub(super) fn hear(&mut self, from: Replica, outputs: &mut Vec<Output>) -> bool {
+        if self.role == Role::Leader || self.leader.is_some_and(|leader| leader != from) {
+            return false;
+        }
+        self.follow(Some(from), outputs);
+        self.heard = Some(self.now);
+        self.rearm();
+        true
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        from: Replica,
+        (prev, prev_term): (Index, Term),
+        commit: Index,
+        mut entries: Vec<Entry>,
+        outputs: &mut Vec<Output>,
+    ) {
+        if !self.hear(from, outputs) || !self.is_sound(prev, prev_term, &entries) {
+            return;
+        }
+        // Committed entries are the same in the log of every leader, so those
+        // in the message need no comparison.
+        let known = self.commit;
+        let (mut prev, mut prev_term) = (prev, prev_term);
+        if prev < known {
+            entries.retain(|entry| entry.index > known);
+            prev = known;
+            prev_term = self.log.term(known).unwrap_or(prev_term);
+        }
+        let term = self.vote.term;
+        if self.log.term(prev) != Some(prev_term) {
+            let hint = self.log.find(prev.min(self.log.last()), prev_term);
+            let message = Message::Mismatch {
+                term,
+                prev,
+                hint,
+                hint_term: self.log.term(hint).unwrap_or(Term::new(0)),
+            };
+            return self.send(from, message, outputs);
+        }
+        let index = Index::new(prev.get() + entries.len() as u64);
+        self.merge(entries, outputs);
+        self.send(from, Message::Matched { term, index }, outputs);
+        self.commit_to(commit.min(index), outputs);
+    }
+
+    /// Whether the entries of an append follow each other and its start.
+    fn is_sound(&self, prev: Index, prev_term: Term, entries: &[Entry]) -> bool {
+        let mut last = (prev, prev_term);
+        prev.get() < super::LIMIT
+            && prev_term <= self.vote.term
+            && entries.iter().all(|entry| {
+                let (index, term) = std::mem::replace(&mut last, (entry.index, entry.term));
+                entry.index == index.next() && entry.term >= term && entry.term <= self.vote.term
+            })
+    }
+
+    /// Appends the entries that the log lacks and removes those that conflict.
+    fn merge(&mut self, mut entries: Vec<Entry>, outputs: &mut Vec<Output>) {
+        let same = entries
+            .iter()
+            .take_while(|entry| self.log.term(entry.index) == Some(entry.term))
+            .count();
+        entries.drain(..same);
+        let Some(first) = entries.first() else {
+            return;
+        };
+        if first.index <= self.log.last() {
+            outputs.push(Output::Persist(Change::Truncate(first.index)));
+            self.log.truncate(first.index);
+        }
+        for entry in &entries {
+            self.log.push(entry.clone());
+        }
+        outputs.push(Output::Persist(Change::Append(entries)));
+        self.persisted = self.log.last();
+    }
+}
--- /dev/null
+++ b/wisteriaglade-consensus/src/raft/lead.rs
@@ -0,0 +1,367 @@
+//! The leader's side of replication.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use wisteriaglade_types::{Index, Term};
+
+use crate::{
+    Change, Message, Output, Payload, Raft, Reason, Replica, Role,
+    log::normal,
+    progress::{Mode, Progress},
+};
+
+/// What only a leader keeps.
+#[derive(Debug, Default)]
+pub(super) struct Lead {
+    pub(super) progress: BTreeMap<Replica, Progress>,
+    /// The proposals that wait for their commit.
+    tickets: VecDeque<(Index, u64)>,
+    /// When the next heartbeat is due.
+    heartbeat: Duration,
+    /// The entry that opened the term.
+    start: Index,
+    /// The second step of a replacement.
+    next: Option<(u64, Vec<Replica>)>,
+}
+
+impl Raft {
+    /// Becomes the leader of the current term.
+    pub(super) fn take_lead(&mut self, outputs: &mut Vec<Output>) {
+        self.role = Role::Leader;
+        self.leader = Some(self.config.replica);
+        self.granted.clear();
+        self.assembly = None;
+        self.lead = Lead {
+            heartbeat: self.now + self.config.heartbeat,
+            ..Lead::default()
+        };
+        self.track();
+        self.lead.start = self.append(Payload::Noop);
+        self.flush(outputs);
+    }
+
+    /// Ends the leadership; the outcome of open proposals is unknown.
+    pub(super) fn retire(&mut self, leader: Option<Replica>, outputs: &mut Vec<Output>) {
+        let lead = std::mem::take(&mut self.lead);
+        let tickets = lead.tickets.into_iter().map(|(_, ticket)| ticket);
+        for ticket in tickets.chain(lead.next.map(|(ticket, _)| ticket)) {
+            outputs.push(Output::Dropped {
+                ticket,
+                leader,
+                reason: Reason::Deposed,
+            });
+        }
+    }
+
+    pub(super) fn propose(&mut self, ticket: u64, data: Arc<[u8]>, outputs: &mut Vec<Output>) {
+        let backlog = self.log.last().get() - self.commit.get();
+        let reason = if self.failed {
+            Reason::Failed
+        } else if self.role != Role::Leader {
+            Reason::NotLeader
+        } else if data.len() > self.config.entry_bytes {
+            Reason::TooLarge
+        } else if backlog >= self.config.backlog as u64 {
+            Reason::Busy
+        } else {
+            let index = self.append(Payload::Data(data));
+            self.lead.tickets.push_back((index, ticket));
+            return;
+        };
+        self.drop_ticket(ticket, reason, outputs);
+    }
+
+    /// Changes the group.
+    pub(super) fn replace(
+        &mut self,
+        ticket: u64,
+        members: Vec<Replica>,
+        outputs: &mut Vec<Output>,
+    ) {
+        let members = normal(members);
+        let current = self.log.members();
+        let added = members.iter().filter(|r| !current.contains(r)).count();
+        let removed = current.iter().filter(|r| !members.contains(r)).count();
+        // Two groups that are in force at once share a majority only when the
+        // previous change and an entry of this term are committed: D. Ongaro,
+        // raft-dev, "bug in single-server membership changes", 2015.
+        let open = self.lead.next.is_some()
+            || self.log.members_index() > self.commit
+            || self.lead.start > self.commit;
+        let reason = if self.failed {
+            Reason::Failed
+        } else if self.role != Role::Leader {
+            Reason::NotLeader
+        } else if added > 1 || removed > 1 || members.is_empty() {
+            Reason::Invalid
+        } else if open {
+            Reason::Busy
+        } else if added + removed == 0 {
+            let index = self.log.members_index();
+            return outputs.push(Output::Committed { ticket, index });
+        } else {
+            return self.change(ticket, members, added + removed == 2);
+        };
+        self.drop_ticket(ticket, reason, outputs);
+    }
+
+    /// Appends a new group. A replacement takes two steps, because a majority
+    /// of the old group and one of the new group need not overlap.
+    fn change(&mut self, ticket: u64, members: Vec<Replica>, replacement: bool) {
+        if !replacement {
+            let index = self.append(Payload::Members(members));
+            self.lead.tickets.push_back((index, ticket));
+            return self.track();
+        }
+        let current = self.log.members();
+        let kept = current.iter().copied().filter(|r| members.contains(r));
+        let mut first: Vec<_> = kept.collect();
+        // The removal comes first, so that the group never waits for the new
+        // replica to catch up; the leader removes itself last.
+        if first.is_empty() || !members.contains(&self.config.replica) {
+            first = current.iter().chain(&members).copied().collect();
+        }
+        self.append(Payload::Members(normal(first)));
+        self.lead.next = Some((ticket, members));
+        self.track();
+    }
+
+    fn drop_ticket(&self, ticket: u64, reason: Reason, outputs: &mut Vec<Output>) {
+        outputs.push(Output::Dropped {
+            ticket,
+            leader: self.leader,
+            reason,
+        });
+    }
+
+    /// Keeps one progress for each other member.
+    fn track(&mut self) {
+        let others = self.others();
+        self.lead.progress.retain(|id, _| others.contains(id));
+        for id in others {
+            let progress = Progress::new(self.log.last().next(), self.now);
+            self.lead.progress.entry(id).or_insert(progress);
+        }
+    }
+
+    /// Hands appended entries to storage and to the followers.
+    pub(super) fn flush(&mut self, outputs: &mut Vec<Output>) {
+        while self.role == Role::Leader && self.persisted < self.log.last() {
+            let entries = self
+                .log
+                .slice(self.persisted.next(), self.log.last())
+                .expect("entries that are not persisted yet are in memory")
+                .to_vec();
+            outputs.push(Output::Persist(Change::Append(entries)));
+            self.persisted = self.log.last();
+            for to in self.others() {
+                self.replicate(to, outputs);
+            }
+            self.advance(outputs);
+        }
+    }
+
+    pub(super) fn tick_leader(&mut self, outputs: &mut Vec<Output>) {
+        let silence = self.now.saturating_sub(self.quorum_heard());
+        if silence >= self.config.election.start {
+            return self.follow(None, outputs);
+        }
+        if self.now >= self.lead.heartbeat {
+            self.lead.heartbeat = self.now + self.config.heartbeat;
+            self.beat(outputs);
+        }
+    }
+
+    /// Sends an append without entries to every follower.
+    fn beat(&mut self, outputs: &mut Vec<Output>) {
+        for to in self.others() {
+            let next = match self.lead.progress.get(&to) {
+                Some(progress) if matches!(progress.mode, Mode::Snapshot { .. }) => {
+                    self.retry_chunk(to, outputs);
+                    // Every log matches before its first entry.
+                    Index::new(1)
+                }
+                Some(progress) => progress.next,
+                None => continue,
+            };
+            if self.send_append(to, next, 0, outputs).is_none() {
+                self.send_snapshot(to, outputs);
+            }
+        }
+    }
+
+    /// Sends the entries that a follower lacks, as far as its window allows.
+    pub(super) fn replicate(&mut self, to: Replica, outputs: &mut Vec<Output>) {
+        while let Some(progress) = self.lead.progress.get(&to) {
+            let next = progress.next;
+            let open = match &progress.mode {
+                Mode::Probe { sent } => !sent,
+                Mode::Pipeline { sent } => {
+                    sent.len() < self.config.window && next <= self.log.last()
+                }
+                Mode::Snapshot { .. } => false,
+            };
+            if !open {
+                return;
+            }
+            let limit = self.config.message_entries;
+            let Some(last) = self.send_append(to, next, limit, outputs) else {
+                return self.send_snapshot(to, outputs);
+            };
+            match self
+                .lead
+                .progress
+                .get_mut(&to)
+                .map(|p| (&mut p.mode, &mut p.next))
+            {
+                Some((Mode::Pipeline { sent }, next)) => {
+                    sent.push_back(last);
+                    *next = last.next();
+                }
+                Some((Mode::Probe { sent }, _)) => *sent = true,
+                _ => return,
+            }
+        }
+    }
+
+    /// Sends at most `limit` entries from `next` on and returns the last one,
+    /// or `None` when the log no longer reaches back that far.
+    fn send_append(
+        &self,
+        to: Replica,
+        next: Index,
+        limit: usize,
+        outputs: &mut Vec<Output>,
+    ) -> Option<Index> {
+        let prev = Index::new(next.get().saturating_sub(1));
+        let none = prev == Index::new(0);
+        let prev_term = if none {
+            Some(Term::new(0))
+        } else {
+            self.log.term(prev)
+        }?;
+        let available = match limit {
+            0 => &[],
+            _ => self.log.slice(next, self.log.last())?,
+        };
+        let mut bytes = 0;
+        let count = available
+            .iter()
+            .take(limit)
+            .take_while(|entry| {
+                let first = bytes == 0;
+                bytes += entry.payload.size();
+                first || bytes <= self.config.message_bytes
+            })
+            .count();
+        let message = Message::Append {
+            term: self.vote.term,
+            prev,
+            prev_term,
+            commit: self.commit,
+            entries: available[..count].to_vec(),
+        };
+        self.send(to, message, outputs);
+        Some(Index::new(prev.get() + count as u64))
+    }
+
+    pub(super) fn on_matched(&mut self, from: Replica, index: Index, outputs: &mut Vec<Output>) {
+        let Some(progress) = self.heard_from(from) else {
+            return;
+        };
+        progress.matched(index);
+        self.advance(outputs);
+        self.flush(outputs);
+        self.replicate(from, outputs);
+    }
+
+    pub(super) fn on_mismatch(
+        &mut self,
+        from: Replica,
+        prev: Index,
+        (hint, hint_term): (Index, Term),
+        outputs: &mut Vec<Output>,
+    ) {
+        if hint >= prev || prev.get() >= super::LIMIT {
+            return;
+        }
+        let next = self.log.find(hint, hint_term).next();
+        let Some(progress) = self.heard_from(from) else {
+            return;
+        };
+        if progress.mismatched(prev, next) {
+            self.replicate(from, outputs);
+        }
+    }
+
+    /// The progress of a follower that has just responded.
+    pub(super) fn heard_from(&mut self, from: Replica) -> Option<&mut Progress> {
+        let now = self.now;
+        let progress = self.lead.progress.get_mut(&from)?;
+        progress.heard = now;
+        Some(progress)
+    }
+
+    /// Commits what a majority holds.
+    fn advance(&mut self, outputs: &mut Vec<Output>) {
+        let own = self.config.replica;
+        let held = |member: &Replica| match self.lead.progress.get(member) {
+            Some(progress) => progress.matched.min(self.persisted),
+            None if *member == own => self.persisted,
+            None => Index::new(0),
+        };
+        let mut indexes: Vec<_> = self.log.members().iter().map(held).collect();
+        indexes.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(&majority) = indexes.get(indexes.len() / 2) else {
+            return;
+        };
+        // An entry of an earlier term on a majority can still be overwritten,
+        // so only entries of this term are committed by counting.
+        if majority <= self.commit || self.log.term(majority) != Some(self.vote.term) {
+            return;
+        }
+        self.commit_to(majority, outputs);
+        while let Some(&(index, ticket)) = self.lead.tickets.front() {
+            if index > self.commit {
+                break;
+            }
+            self.lead.tickets.pop_front();
+            outputs.push(Output::Committed { ticket, index });
+        }
+        // Followers and their subscribers learn the commit index at once.
+        self.beat(outputs);
+        self.settle(outputs);
+    }
+
+    /// Completes a change of the group after its commit.
+    fn settle(&mut self, outputs: &mut Vec<Output>) {
+        if self.log.members_index() > self.commit {
+            return;
+        }
+        if !self.is_member() {
+            return self.follow(None, outputs);
+        }
+        if let Some((ticket, members)) = self.lead.next.take() {
+            let index = self.append(Payload::Members(members));
+            self.lead.tickets.push_back((index, ticket));
+            self.track();
+        }
+    }
+
+    /// When a majority was last in contact with this leader.
+    pub(super) fn quorum_heard(&self) -> Duration {
+        let own = self.config.replica;
+        let heard = |member: &Replica| match self.lead.progress.get(member) {
+            Some(progress) => progress.heard,
+            None if *member == own => self.now,
+            None => Duration::ZERO,
+        };
+        let mut times: Vec<_> = self.log.members().iter().map(heard).collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        times.get(times.len() / 2).copied().unwrap_or(self.now)
+    }
+}
--- /dev/null
+++ b/wisteriaglade-consensus/src/raft/transfer.rs
@@ -0,0 +1,165 @@
+//! Transfer of snapshots.
+
+use std::time::Duration;
+
+use wisteriaglade_types::{Index, Term};
+
+use crate::{
+    Change, Message, Output, Raft, Replica,
+    assembly::Assembly,
+    log::Log,
+    progress::{Mode, Progress},
+};
+
+/// When a chunk without a response is sent again. It is half the shortest
+/// election timeout, and many round trips of a network between regions.
+const RETRY: Duration = Duration::from_millis(250);
+
+impl Raft {
+    /// Starts to send the newest snapshot to a follower.
+    pub(super) fn send_snapshot(&mut self, to: Replica, outputs: &mut Vec<Output>) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        if let Some(progress) = self.lead.progress.get_mut(&to) {
+            progress.mode = Mode::Snapshot {
+                snapshot,
+                offset: 0,
+                at: self.now,
+            };
+            self.send_chunk(to, outputs);
+        }
+    }
+
+    /// Sends the chunk again to which no response came.
+    pub(super) fn retry_chunk(&mut self, to: Replica, outputs: &mut Vec<Output>) {
+        if let Some(Progress {
+            mode: Mode::Snapshot { at, .. },
+            ..
+        }) = self.lead.progress.get(&to)
+            && self.now.saturating_sub(*at) >= RETRY
+        {
+            self.send_chunk(to, outputs);
+        }
+    }
+
+    fn send_chunk(&mut self, to: Replica, outputs: &mut Vec<Output>) {
+        let term = self.vote.term;
+        let Some(Progress {
+            mode:
+                Mode::Snapshot {
+                    snapshot,
+                    offset,
+                    at,
+                },
+            ..
+        }) = self.lead.progress.get_mut(&to)
+        else {
+            return;
+        };
+        *at = self.now;
+        let end = (*offset + self.config.message_bytes).min(snapshot.data.len());
+        let message = Message::Chunk {
+            term,
+            index: snapshot.index,
+            index_term: snapshot.term,
+            members: snapshot.members.clone(),
+            total: snapshot.data.len() as u64,
+            offset: *offset as u64,
+            data: snapshot.data[*offset..end].into(),
+        };
+        self.send(to, message, outputs);
+    }
+
+    pub(super) fn on_received(
+        &mut self,
+        from: Replica,
+        index: Index,
+        received: u64,
+        outputs: &mut Vec<Output>,
+    ) {
+        let Some(Progress {
+            mode: Mode::Snapshot {
+                snapshot, offset, ..
+            },
+            ..
+        }) = self.heard_from(from)
+        else {
+            return;
+        };
+        let Ok(received) = usize::try_from(received) else {
+            return;
+        };
+        if index != snapshot.index || received > snapshot.data.len() || received == *offset {
+            return;
+        }
+        // A smaller offset is a late response, or the follower has restarted.
+        // The retry sends that chunk, so that repeated responses do not
+        // multiply.
+        let forward = received > *offset;
+        *offset = received;
+        if forward {
+            self.send_chunk(from, outputs);
+        }
+    }
+
+    pub(super) fn on_chunk(
+        &mut self,
+        from: Replica,
+        (index, index_term, total): (Index, Term, u64),
+        members: Vec<Replica>,
+        offset: u64,
+        data: &[u8],
+        outputs: &mut Vec<Output>,
+    ) {
+        let sound = index.get() < super::LIMIT && index_term <= self.vote.term;
+        if !self.hear(from, outputs) || !sound {
+            return;
+        }
+        let term = self.vote.term;
+        if index <= self.commit {
+            let index = self.commit;
+            return self.send(from, Message::Matched { term, index }, outputs);
+        }
+        let held = self.assembly.take();
+        let mut assembly = held
+            .filter(|assembly| assembly.is(index, index_term, total))
+            .unwrap_or_else(|| Assembly::new(index, index_term, total));
+        assembly.add(offset, data);
+        if assembly.is_complete() {
+            return self.install(from, assembly, members, outputs);
+        }
+        let offset = assembly.len();
+        self.assembly = Some(assembly);
+        let message = Message::Received {
+            term,
+            index,
+            offset,
+        };
+        self.send(from, message, outputs);
+    }
+
+    /// Replaces the log and the state machine by a complete snapshot.
+    fn install(
+        &mut self,
+        from: Replica,
+        assembly: Assembly,
+        members: Vec<Replica>,
+        outputs: &mut Vec<Output>,
+    ) {
+        let snapshot = assembly.finish(members);
+        let (index, term) = (snapshot.index, self.vote.term);
+        if self.log.term(index) == Some(snapshot.term) {
+            // The log already holds everything up to the snapshot.
+            self.send(from, Message::Matched { term, index }, outputs);
+            return self.commit_to(index, outputs);
+        }
+        self.log = Log::new(index, snapshot.term, snapshot.members.clone());
+        self.commit = index;
+        self.persisted = index;
+        self.snapshot = Some(snapshot.clone());
+        outputs.push(Output::Persist(Change::Install(snapshot.clone())));
+        self.send(from, Message::Matched { term, index }, outputs);
+        outputs.push(Output::Restore(snapshot));
+    }
+}
