Add the admission reducer with fair queueing and a fixed limit

The daemon needs the events and effects of the router before the adaptive parts exist. This has the bounded queue, start-time fair queueing over busy time among members and callers, deadlines, the separate limit for long work, learned lengths and the baseline policy. The concurrency limit is still the announced slots, and reports are accepted without effect.

--- /dev/null
+++ b/wisteriaglade-router/src/router.rs
@@ -0,0 +1,392 @@
+//! The reducer.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use wisteriaglade_types::{Name, Request};
+
+use crate::{
+    Arrival, Capacity, Class, Config, Effect, Event, Finish, Policy, Reason, Summary, Usage,
+    job::Job, ledger::Ledger, lengths::Lengths, limit::Limit, queue::Queue, running::Running,
+    standing::Standing, waiting::Waiting,
+};
+
+/// The retry-after time of refusals whose cause ends within moments: a move of
+/// the shard takes less than a second.
+const SOON: Duration = Duration::from_millis(250);
+
+/// The range of estimated retry-after times. Below, retries would only add
+/// load; above, the estimate says nothing.
+const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(10), Duration::from_secs(10)];
+
+/// Admission, fairness and limits for the target beside one node.
+///
+/// # Example
+///
+/// See the [crate documentation](crate).
+#[derive(Debug)]
+pub struct Router {
+    config: Config,
+    now: Duration,
+    capacity: Option<Capacity>,
+    limit: Option<Limit>,
+    queue: Queue,
+    running: Running,
+    lengths: Lengths,
+    ledger: Ledger,
+    standing: Standing,
+    draining: Option<Duration>,
+}
+
+impl Router {
+    /// Creates a router without a target. It refuses all requests until
+    /// [`Event::Target`] announces one.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        let fair = config.policy == Policy::Adaptive;
+        Self {
+            now: Duration::ZERO,
+            capacity: None,
+            limit: None,
+            queue: Queue::new(fair, config.callers),
+            running: Running::default(),
+            lengths: Lengths::new(),
+            ledger: Ledger::new(config.members),
+            standing: Standing::default(),
+            draining: None,
+            config,
+        }
+    }
+
+    /// Handles one event at the time `now` and appends the effects in the
+    /// order in which they are to be executed.
+    ///
+    /// Every arrival gets exactly one [`Effect::Dispatch`] or
+    /// [`Effect::Refuse`]. Times are measured from any fixed moment and must
+    /// not decrease.
+    pub fn step(&mut self, now: Duration, event: Event, effects: &mut Vec<Effect>) {
+        self.now = now;
+        match event {
+            Event::Arrive(arrival) => self.arrive(now, arrival, effects),
+            Event::Finish { request, result } => self.finish(now, request, result),
+            Event::Depart { request } => self.depart(request, effects),
+            Event::Report(_) | Event::Tick => {}
+            Event::Target(capacity) => self.announce(now, capacity, effects),
+            Event::Drain => self.draining = self.draining.or(Some(now)),
+        }
+        self.expire(now, effects);
+        if self.adaptive() {
+            if let Some(limit) = self.lengths.threshold() {
+                self.running.reclassify(now, limit);
+            }
+            self.standing.update(now, self.queue.oldest());
+        }
+        self.dispatch(now, effects);
+    }
+
+    /// When the next [`Event::Tick`] is due, if no other event comes first.
+    #[must_use]
+    pub fn wake(&self) -> Option<Duration> {
+        let times = [
+            self.queue.next_expiry(),
+            self.running.next_deadline(),
+            self.next_reclassify(),
+            self.draining
+                .filter(|_| self.queue.len() > 0)
+                .map(|at| at + self.config.grace),
+        ];
+        times.into_iter().flatten().min()
+    }
+
+    /// The state after the last step, for metrics and load reports.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        Summary {
+            queued_short: self.queue.waiting(Class::Short),
+            queued_long: self.queue.waiting(Class::Long),
+            running_short: self.running.count(Class::Short),
+            running_long: self.running.count(Class::Long),
+            limit: self.limit(self.now),
+            limit_long: self.long_limit(self.now),
+            service: self.lengths.service(),
+            standing: self.standing.get(self.now),
+            suspect: false,
+        }
+    }
+
+    /// What each member asked for and received. The number of members is
+    /// bounded by [`Config::members`].
+    #[must_use]
+    pub const fn members(&self) -> &BTreeMap<Name, Usage> {
+        self.ledger.all()
+    }
+
+    fn arrive(&mut self, now: Duration, arrival: Arrival, effects: &mut Vec<Effect>) {
+        if self.queue.contains(arrival.request) || self.running.contains(arrival.request) {
+            return;
+        }
+        self.ledger.of(&arrival.member).arrivals += 1;
+        let class = match self.config.policy {
+            Policy::Adaptive => self.lengths.class(&arrival),
+            Policy::Baseline => Class::Short,
+        };
+        let expected = match self.config.policy {
+            Policy::Adaptive => self.lengths.expected(class),
+            Policy::Baseline => Duration::ZERO,
+        };
+        let waiting = Waiting {
+            class,
+            arrived: now,
+            expected,
+            arrival,
+        };
+        if self.capacity.is_none() {
+            return self.refuse(&waiting, Reason::Absent, Some(SOON), effects);
+        }
+        if self.left(now) {
+            return self.refuse(&waiting, Reason::Draining, Some(SOON), effects);
+        }
+        let admitted = if self.adaptive() {
+            self.fit(now, &waiting, effects) && self.make_room(now, &waiting, effects)
+        } else if self.queue.len() >= self.config.queue {
+            self.refuse(&waiting, Reason::Full, Some(SOON), effects);
+            false
+        } else {
+            true
+        };
+        if admitted {
+            self.queue.push(waiting);
+        }
+    }
+
+    /// Refuses a request whose expected wait does not fit its deadline. In a
+    /// standing queue only half of the time may be spent waiting, and the
+    /// oldest request of the same caller gives way to the new one.
+    fn fit(&mut self, now: Duration, waiting: &Waiting, effects: &mut Vec<Effect>) -> bool {
+        let wait = self.expected_wait(now, waiting);
+        let left = waiting.latest().saturating_sub(now);
+        let fresh = self.freshest(now);
+        let most = if fresh { left / 2 } else { left };
+        if wait <= most && !left.is_zero() {
+            return true;
+        }
+        let retry_after = Some(
+            wait.saturating_sub(most)
+                .clamp(RETRY_AFTER[0], RETRY_AFTER[1]),
+        );
+        let arrival = &waiting.arrival;
+        if fresh
+            && !left.is_zero()
+            && waiting.class == Class::Short
+            && let Some(old) = self.queue.evict_oldest(&arrival.member, &arrival.caller)
+        {
+            self.refuse(&old, Reason::Overload, retry_after, effects);
+            return true;
+        }
+        self.refuse(waiting, Reason::Deadline, retry_after, effects);
+        false
+    }
+
+    /// Refuses a request of the member that is the furthest over its share
+    /// when the queue is full.
+    fn make_room(&mut self, now: Duration, waiting: &Waiting, effects: &mut Vec<Effect>) -> bool {
+        let member = &waiting.arrival.member;
+        let victim = if self.queue.member_len(member) >= self.config.member_queue {
+            member.clone()
+        } else if self.queue.len() >= self.config.queue {
+            self.queue.furthest(member, waiting.arrival.weight)
+        } else {
+            return true;
+        };
+        let wait = self.expected_wait(now, waiting);
+        let retry_after = Some(wait.clamp(RETRY_AFTER[0], RETRY_AFTER[1]));
+        let fresh = self.freshest(now);
+        if (victim != *member || fresh)
+            && let Some(evicted) = self.queue.evict(&victim, fresh)
+        {
+            self.refuse(&evicted, Reason::Full, retry_after, effects);
+            return true;
+        }
+        self.refuse(waiting, Reason::Full, retry_after, effects);
+        false
+    }
+
+    /// The expected wait of a new request, from the work ahead of it and the
+    /// slots that its class can use.
+    fn expected_wait(&self, now: Duration, waiting: &Waiting) -> Duration {
+        let class = waiting.class;
+        let limit = self.limit(now);
+        let slots = match class {
+            Class::Short => limit.saturating_sub(self.running.count(Class::Long)),
+            Class::Long => self.long_limit(now),
+        };
+        let free = self.running.total() < limit && self.running.count(class) < slots;
+        if free && self.queue.waiting(class) == 0 {
+            return Duration::ZERO;
+        }
+        let arrival = &waiting.arrival;
+        let ahead = self
+            .queue
+            .ahead(&arrival.member, &arrival.caller, arrival.weight, class);
+        let ahead = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+        waiting.expected.saturating_mul(ahead) / slots.max(1)
+    }
+
+    fn finish(&mut self, now: Duration, request: Request, result: Finish) {
+        let Some(job) = self.running.remove(request) else {
+            return;
+        };
+        let busy = now.saturating_sub(job.started);
+        let usage = self.ledger.of(&job.waiting.arrival.member);
+        usage.busy += busy;
+        match result {
+            Finish::Served => usage.served += 1,
+            Finish::Shed { .. } => usage.shed += 1,
+            Finish::Failed => usage.failed += 1,
+            Finish::Cancelled => usage.cancelled += 1,
+        }
+        match result {
+            Finish::Served => self.lengths.observe(&job, busy),
+            Finish::Cancelled => self.lengths.observe_cancelled(&job, busy),
+            Finish::Shed { .. } | Finish::Failed => {}
+        }
+        self.queue.charge(&job.waiting, job.charged, busy);
+    }
+
+    fn depart(&mut self, request: Request, effects: &mut Vec<Effect>) {
+        if let Some(waiting) = self.queue.remove(request) {
+            self.refuse(&waiting, Reason::Departed, None, effects);
+        } else if let Some(job) = self.running.get_mut(request)
+            && !job.cancelled
+        {
+            job.cancelled = true;
+            let reason = Reason::Departed;
+            effects.push(Effect::Cancel { request, reason });
+        }
+    }
+
+    fn announce(&mut self, now: Duration, capacity: Option<Capacity>, effects: &mut Vec<Effect>) {
+        if capacity.is_none() {
+            self.draining = None;
+            self.refuse_all(Reason::Absent, Some(SOON), effects);
+        }
+        self.capacity = capacity;
+        self.limit = capacity.map(|capacity| Limit::new(&capacity, now));
+    }
+
+    /// Refuses waiting work and cancels running work that is out of time.
+    fn expire(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        if self.left(now) {
+            self.refuse_all(Reason::Draining, Some(SOON), effects);
+        }
+        while let Some(waiting) = self.queue.expired(now) {
+            self.refuse(&waiting, Reason::Expired, Some(SOON), effects);
+        }
+        for request in self.running.overdue(now) {
+            let reason = Reason::Expired;
+            effects.push(Effect::Cancel { request, reason });
+        }
+    }
+
+    fn dispatch(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let cost = [Class::Short, Class::Long].map(|class| self.lengths.expected(class));
+        while self.running.total() < self.limit(now) {
+            let allowed = [true, self.long_allowed(now)];
+            let fresh = self.freshest(now);
+            let Some(waiting) = self.queue.pop(allowed, cost, fresh) else {
+                return;
+            };
+            if self.adaptive() && waiting.arrival.deadline < now + cost[waiting.class.index()] {
+                // The expected service time has grown since the arrival.
+                self.refuse(&waiting, Reason::Expired, Some(SOON), effects);
+                continue;
+            }
+            self.start(now, waiting, cost, effects);
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Duration,
+        waiting: Waiting,
+        cost: [Duration; 2],
+        effects: &mut Vec<Effect>,
+    ) {
+        let wait = now.saturating_sub(waiting.arrived);
+        self.ledger.of(&waiting.arrival.member).waited(wait);
+        let (request, class) = (waiting.request(), waiting.class);
+        self.running.insert(Job {
+            class,
+            started: now,
+            charged: cost[class.index()],
+            cancelled: false,
+            waiting,
+        });
+        effects.push(Effect::Dispatch { request, class });
+    }
+
+    fn refuse_all(
+        &mut self,
+        reason: Reason,
+        retry_after: Option<Duration>,
+        effects: &mut Vec<Effect>,
+    ) {
+        while let Some(waiting) = self.queue.any() {
+            self.refuse(&waiting, reason, retry_after, effects);
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        waiting: &Waiting,
+        reason: Reason,
+        retry_after: Option<Duration>,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.ledger.of(&waiting.arrival.member).refused[reason.index()] += 1;
+        effects.push(Effect::Refuse {
+            request: waiting.request(),
+            reason,
+            retry_after,
+        });
+    }
+
+    /// Whether the grace period of a leaving target has passed.
+    fn left(&self, now: Duration) -> bool {
+        self.draining
+            .is_some_and(|at| now >= at + self.config.grace)
+    }
+
+    fn limit(&self, now: Duration) -> u32 {
+        self.limit.as_ref().map_or(0, |limit| limit.get(now))
+    }
+
+    /// The most long requests that run at once. Short work keeps half of the
+    /// slots, and half of the rest as well while it queues; one long request
+    /// can always run.
+    fn long_limit(&self, now: Duration) -> u32 {
+        let limit = self.limit(now);
+        let Some(capacity) = self.capacity.filter(|_| self.adaptive()) else {
+            return limit;
+        };
+        let most = limit.min(capacity.slots()) / 2;
+        let queued = self.queue.waiting(Class::Short) > 0;
+        (if queued { most / 2 } else { most }).max(1)
+    }
+
+    fn long_allowed(&self, now: Duration) -> bool {
+        self.running.count(Class::Long) < self.long_limit(now)
+    }
+
+    fn next_reclassify(&self) -> Option<Duration> {
+        let limit = self.lengths.threshold().filter(|_| self.adaptive())?;
+        self.running.next_reclassify(limit)
+    }
+
+    fn freshest(&self, now: Duration) -> bool {
+        self.config.freshest && self.standing.get(now)
+    }
+
+    const fn adaptive(&self) -> bool {
+        matches!(self.config.policy, Policy::Adaptive)
+    }
+}
--- /dev/null
+++ b/wisteriaglade-router/src/running.rs
@@ -0,0 +1,80 @@
+//! All dispatched work.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use wisteriaglade_types::Request;
+
+use crate::{Class, job::Job};
+
+/// The requests that run at the target. Their number is bounded by the
+/// connections of the target.
+#[derive(Debug, Default)]
+pub(crate) struct Running {
+    jobs: BTreeMap<Request, Job>,
+    count: [u32; 2],
+}
+
+impl Running {
+    pub(crate) fn insert(&mut self, job: Job) {
+        self.count[job.class.index()] += 1;
+        self.jobs.insert(job.waiting.request(), job);
+    }
+
+    pub(crate) fn remove(&mut self, request: Request) -> Option<Job> {
+        let job = self.jobs.remove(&request)?;
+        self.count[job.class.index()] -= 1;
+        Some(job)
+    }
+
+    pub(crate) fn contains(&self, request: Request) -> bool {
+        self.jobs.contains_key(&request)
+    }
+
+    pub(crate) fn get_mut(&mut self, request: Request) -> Option<&mut Job> {
+        self.jobs.get_mut(&request)
+    }
+
+    pub(crate) const fn total(&self) -> u32 {
+        self.count[0] + self.count[1]
+    }
+
+    pub(crate) const fn count(&self, class: Class) -> u32 {
+        self.count[class.index()]
+    }
+
+    /// Marks and returns the requests whose deadline passed.
+    pub(crate) fn overdue(&mut self, now: Duration) -> Vec<Request> {
+        let late = self
+            .jobs
+            .values_mut()
+            .filter(|job| !job.cancelled && job.waiting.arrival.deadline <= now);
+        late.map(|job| {
+            job.cancelled = true;
+            job.waiting.request()
+        })
+        .collect()
+    }
+
+    /// Counts short work that has run for `limit` as long work from now on.
+    pub(crate) fn reclassify(&mut self, now: Duration, limit: Duration) {
+        for job in self.jobs.values_mut() {
+            if job.class == Class::Short && now.saturating_sub(job.started) >= limit {
+                job.class = Class::Long;
+                self.count[Class::Short.index()] -= 1;
+                self.count[Class::Long.index()] += 1;
+            }
+        }
+    }
+
+    /// The earliest deadline of work that was not cancelled.
+    pub(crate) fn next_deadline(&self) -> Option<Duration> {
+        let active = self.jobs.values().filter(|job| !job.cancelled);
+        active.map(|job| job.waiting.arrival.deadline).min()
+    }
+
+    /// When the oldest short work has run for `limit`.
+    pub(crate) fn next_reclassify(&self, limit: Duration) -> Option<Duration> {
+        let short = self.jobs.values().filter(|job| job.class == Class::Short);
+        short.map(|job| job.started + limit).min()
+    }
+}
--- /dev/null
+++ b/wisteriaglade-router/src/window.rs
@@ -0,0 +1,57 @@
+//! Recent service times.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// Samples kept. The median of 64 is unmoved by a few stragglers and follows a
+/// change of speed within half as many answers.
+const SAMPLES: usize = 64;
+
+/// Samples above this multiple of the median are left out of the mean.
+const OUTLIER: u32 = 6;
+
+/// A sliding window over service times.
+#[derive(Debug, Default)]
+pub(crate) struct Window {
+    order: VecDeque<Duration>,
+    sorted: Vec<Duration>,
+    mean: Duration,
+}
+
+impl Window {
+    pub(crate) fn push(&mut self, sample: Duration) {
+        if self.order.len() == SAMPLES
+            && let Some(old) = self.order.pop_front()
+        {
+            let at = self.sorted.partition_point(|s| *s < old);
+            self.sorted.remove(at);
+        }
+        self.order.push_back(sample);
+        let at = self.sorted.partition_point(|s| *s < sample);
+        self.sorted.insert(at, sample);
+        self.mean = self.trimmed_mean();
+    }
+
+    pub(crate) const fn len(&self) -> usize {
+        self.sorted.len()
+    }
+
+    pub(crate) fn median(&self) -> Option<Duration> {
+        self.sorted.get(self.sorted.len() / 2).copied()
+    }
+
+    /// The mean without outliers.
+    pub(crate) const fn mean(&self) -> Option<Duration> {
+        if self.sorted.is_empty() {
+            None
+        } else {
+            Some(self.mean)
+        }
+    }
+
+    fn trimmed_mean(&self) -> Duration {
+        let limit = self.median().unwrap_or_default() * OUTLIER;
+        let kept = self.sorted.iter().take_while(|s| **s <= limit);
+        let (sum, count) = kept.fold((Duration::ZERO, 0_u32), |(sum, n), s| (sum + *s, n + 1));
+        sum / count.max(1)
+    }
+}
