Add the records and the holder of at-most-once requests

The holder refuses writes below the highest epoch of a shard and reserves the room for an answer at the start, so that an outcome always fits. Records are selected by the hash of their key, so a dedicated shard finds what was written under its parent, and its fence stops the parent's writes for that key.

--- /dev/null
+++ b/wisteriaglade-once/src/fingerprint.rs
@@ -0,0 +1,30 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A hash over the method and the path of a request.
+///
+/// The user of the package computes it. A resend whose fingerprint differs from
+/// the recorded one is refused, because it asks for other work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Fingerprint(u64);
+
+impl Fingerprint {
+    /// Wraps a hash that was computed before.
+    #[must_use]
+    pub const fn new(raw: u64) -> Self {
+        Self(raw)
+    }
+
+    /// The raw hash.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- /dev/null
+++ b/wisteriaglade-once/src/holder.rs
@@ -0,0 +1,203 @@
+//! The records that a node keeps for the owners of shards.
+
+mod config;
+mod cursor;
+mod message;
+mod pool;
+mod reply;
+mod store;
+
+use std::time::Duration;
+
+use wisteriaglade_types::{Epoch, Name, Shard};
+
+use self::store::Store;
+pub use self::{config::Config, cursor::Cursor, message::Message, reply::Reply};
+use crate::{Answer, Cover, Key, Record, State};
+
+/// The largest sum of encoded records in a reply or in a [`Message::Copy`], in
+/// bytes. A frame between processes has at most 1 MiB.
+pub const PAGE: usize = 512 * 1024;
+
+/// The holder of a node: records of all shards that were entrusted to it.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use wisteriaglade_once::{Cover, holder::{Config, Holder, Message, Reply}};
+/// use wisteriaglade_types::{Epoch, Shard};
+///
+/// let mut holder = Holder::new(Config::default());
+/// let fence = |epoch| Message::Fence {
+///     pool: "bookings".into(),
+///     shard: Shard::new(3),
+///     epoch: Epoch::new(epoch),
+///     cover: Cover::Part { shards: 256, except: vec![] },
+///     cursor: None,
+/// };
+/// let now = Duration::from_secs(1);
+/// assert_eq!(holder.handle(now, fence(7)), Reply::Records { records: vec![], next: None });
+/// assert_eq!(holder.handle(now, fence(6)), Reply::Stale { epoch: Epoch::new(7), hash: None });
+/// ```
+#[derive(Debug)]
+pub struct Holder {
+    store: Store,
+}
+
+impl Holder {
+    /// A holder without records.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        Self {
+            store: Store::new(config),
+        }
+    }
+
+    /// Handles one message of an owner. `now` is the time since process start.
+    ///
+    /// A repeated or reordered message has no further effect.
+    #[must_use]
+    pub fn handle(&mut self, now: Duration, message: Message) -> Reply {
+        self.expire(now);
+        let (pool, shard, epoch) = message.target();
+        let floor = self.store.pool(pool).raise(shard, epoch);
+        if floor > epoch {
+            return Reply::Stale {
+                epoch: floor,
+                hash: None,
+            };
+        }
+        match message {
+            Message::Fence {
+                pool,
+                shard,
+                epoch,
+                cover,
+                cursor,
+            } => self.fence(now, &pool, shard, epoch, cover, cursor.as_ref()),
+            Message::Start { epoch, record, .. } => self.start(now, epoch, record),
+            Message::End {
+                epoch,
+                key,
+                attempt,
+                answer,
+                ..
+            } => self.end(now, epoch, &key, attempt, answer),
+            Message::Abort { epoch, record, .. } => self.abort(now, epoch, record),
+            Message::Copy { epoch, records, .. } => self.copy(now, epoch, records),
+        }
+    }
+
+    /// Removes the records whose retention has ended.
+    pub fn expire(&mut self, now: Duration) {
+        self.store.expire(now);
+    }
+
+    /// The memory in use, in bytes, with the room reserved for answers.
+    #[must_use]
+    pub const fn used(&self) -> usize {
+        self.store.used()
+    }
+
+    /// The number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.store.len()
+    }
+
+    /// Whether there are no records.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn fence(
+        &mut self,
+        now: Duration,
+        pool: &Name,
+        shard: Shard,
+        epoch: Epoch,
+        cover: Cover,
+        cursor: Option<&Cursor>,
+    ) -> Reply {
+        let (records, next) = self.store.page(now, pool, shard, &cover, cursor);
+        self.store.pool(pool).fence(shard, epoch, cover);
+        Reply::Records { records, next }
+    }
+
+    fn start(&mut self, now: Duration, epoch: Epoch, record: Record) -> Reply {
+        if let Some(stale) = self.stale(epoch, &record.key) {
+            return stale;
+        }
+        match self.store.get(now, &record.key) {
+            Some(held) if held.version() == record.version() => match held.state {
+                State::Started | State::Ended(_) => Reply::Done,
+                State::Unknown | State::Aborted => Reply::Held(Box::new(held)),
+            },
+            Some(held) if !record.supersedes(&held) => Reply::Held(Box::new(held)),
+            _ => self.merge(now, record),
+        }
+    }
+
+    fn end(
+        &mut self,
+        now: Duration,
+        epoch: Epoch,
+        key: &Key,
+        attempt: u64,
+        answer: Answer,
+    ) -> Reply {
+        if let Some(stale) = self.stale(epoch, key) {
+            return stale;
+        }
+        match self.store.get(now, key) {
+            Some(held) if held.version() == (epoch, attempt) => {
+                let state = State::Ended(answer.clip());
+                self.merge(now, Record { state, ..held })
+            }
+            _ => Reply::Missing,
+        }
+    }
+
+    fn abort(&mut self, now: Duration, epoch: Epoch, record: Record) -> Reply {
+        if let Some(stale) = self.stale(epoch, &record.key) {
+            return stale;
+        }
+        let state = State::Aborted;
+        // Without room for the withdrawal there is no room for the delayed start
+        // either, and a start that is held frees more than the withdrawal needs.
+        let _ = self.merge(now, Record { state, ..record });
+        Reply::Done
+    }
+
+    fn copy(&mut self, now: Duration, epoch: Epoch, records: Vec<Record>) -> Reply {
+        for record in records {
+            // The owner must not count this holder for a record that it refuses.
+            if let Some(stale) = self.stale(epoch, &record.key) {
+                return stale;
+            }
+            if self.merge(now, record) == Reply::Full {
+                return Reply::Full;
+            }
+        }
+        Reply::Done
+    }
+
+    fn stale(&mut self, epoch: Epoch, key: &Key) -> Option<Reply> {
+        let floor = self.store.pool(&key.pool).floor(key.hash);
+        (floor > epoch).then_some(Reply::Stale {
+            epoch: floor,
+            hash: Some(key.hash),
+        })
+    }
+
+    fn merge(&mut self, now: Duration, record: Record) -> Reply {
+        if self.store.merge(now, record) {
+            Reply::Done
+        } else {
+            Reply::Full
+        }
+    }
+}
--- /dev/null
+++ b/wisteriaglade-once/src/holder/store.rs
@@ -0,0 +1,175 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    ops::Bound,
+    time::Duration,
+};
+
+use wisteriaglade_types::{Name, Shard};
+
+use super::{
+    Config, Cursor, PAGE,
+    pool::{Pool, Stored},
+};
+use crate::{Cover, Key, Record, State};
+
+/// The records of all pools within the limits of retention and memory.
+#[derive(Debug)]
+pub(super) struct Store {
+    config: Config,
+    pools: HashMap<Name, Pool>,
+    /// The keys by the end of their retention.
+    expiry: BTreeMap<(Duration, u64), Key>,
+    serial: u64,
+    used: usize,
+}
+
+impl Store {
+    pub(super) fn new(config: Config) -> Self {
+        Self {
+            config,
+            pools: HashMap::new(),
+            expiry: BTreeMap::new(),
+            serial: 0,
+            used: 0,
+        }
+    }
+
+    pub(super) const fn used(&self) -> usize {
+        self.used
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.expiry.len()
+    }
+
+    pub(super) fn pool(&mut self, name: &Name) -> &mut Pool {
+        if !self.pools.contains_key(name) {
+            self.pools.insert(name.clone(), Pool::default());
+        }
+        self.pools.get_mut(name).expect("inserted above")
+    }
+
+    /// The record of a key, with its present age.
+    pub(super) fn get(&self, now: Duration, key: &Key) -> Option<Record> {
+        let place = Cursor::new(key.hash, key.id.clone());
+        let stored = self.pools.get(&key.pool)?.records.get(&place)?;
+        Some(self.aged(now, stored))
+    }
+
+    /// Stores a record that counts more than the one held. Returns whether there
+    /// was room for it.
+    pub(super) fn merge(&mut self, now: Duration, record: Record) -> bool {
+        let place = Cursor::new(record.key.hash, record.key.id.clone());
+        let held = self.pool(&record.key.pool).records.get(&place);
+        if held.is_some_and(|held| !record.supersedes(&held.record)) {
+            return true;
+        }
+        let freed = held.map_or(0, |held| held.record.size());
+        // A record that needs no more room than the one it replaces always fits:
+        // an end fits in the room that was reserved at its start.
+        if record.size() > freed && self.used - freed + record.size() > self.config.memory {
+            return false;
+        }
+        self.remove(&record.key);
+        let lifetime = self.lifetime(&record).saturating_sub(record.written);
+        let expires = now + lifetime;
+        self.serial += 1;
+        self.used += record.size();
+        self.expiry
+            .insert((expires, self.serial), record.key.clone());
+        let serial = self.serial;
+        let pool = record.key.pool.clone();
+        let stored = Stored {
+            record,
+            expires,
+            serial,
+        };
+        self.pool(&pool).records.insert(place, stored);
+        true
+    }
+
+    /// Removes the records whose retention has ended.
+    pub(super) fn expire(&mut self, now: Duration) {
+        while let Some(entry) = self.expiry.first_entry() {
+            if entry.key().0 > now {
+                return;
+            }
+            let key = entry.get().clone();
+            self.remove(&key);
+        }
+    }
+
+    /// The records of a shard after `cursor`, up to the size of a page.
+    pub(super) fn page(
+        &self,
+        now: Duration,
+        pool: &Name,
+        shard: Shard,
+        cover: &Cover,
+        cursor: Option<&Cursor>,
+    ) -> (Vec<Record>, Option<Cursor>) {
+        let mut records = Vec::new();
+        let mut last = None;
+        let mut size = 0;
+        let Some(pool) = self.pools.get(pool) else {
+            return (records, None);
+        };
+        let (first, end) = span(shard, cover);
+        let first = Cursor::first(first);
+        let from = match cursor {
+            Some(cursor) if *cursor >= first => Bound::Excluded(cursor),
+            _ => Bound::Included(&first),
+        };
+        for (place, stored) in pool.records.range((from, Bound::Unbounded)) {
+            if place.reversed() > end {
+                break;
+            }
+            if !cover.contains(shard, stored.record.key.hash) {
+                continue;
+            }
+            size += stored.record.encoded();
+            if size > PAGE {
+                return (records, last);
+            }
+            records.push(self.aged(now, stored));
+            last = Some(place.clone());
+        }
+        (records, None)
+    }
+
+    fn remove(&mut self, key: &Key) {
+        let place = Cursor::new(key.hash, key.id.clone());
+        if let Some(stored) = self.pool(&key.pool).records.remove(&place) {
+            self.used -= stored.record.size();
+            self.expiry.remove(&(stored.expires, stored.serial));
+        }
+    }
+
+    fn aged(&self, now: Duration, stored: &Stored) -> Record {
+        let left = stored.expires.saturating_sub(now);
+        Record {
+            written: self.lifetime(&stored.record).saturating_sub(left),
+            ..stored.record.clone()
+        }
+    }
+
+    const fn lifetime(&self, record: &Record) -> Duration {
+        match record.state {
+            State::Aborted => self.config.tombstone,
+            State::Started | State::Ended(_) | State::Unknown => self.config.retention,
+        }
+    }
+}
+
+/// The least and the greatest reversed hash among the keys of a shard.
+fn span(shard: Shard, cover: &Cover) -> (u64, u64) {
+    match cover {
+        Cover::Single(hash) => (hash.get().reverse_bits(), hash.get().reverse_bits()),
+        Cover::Part { shards, .. } if shards.is_power_of_two() => {
+            let first = u64::from(shard.get()).reverse_bits();
+            let rest = u64::MAX.checked_shr(shards.trailing_zeros()).unwrap_or(0);
+            (first, first | rest)
+        }
+        Cover::Part { .. } => (0, u64::MAX),
+    }
+}
--- /dev/null
+++ b/wisteriaglade-once/src/key.rs
@@ -0,0 +1,23 @@
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use wisteriaglade_types::{Hash, Name};
+
+/// What identifies the work of a request that runs at most once.
+///
+/// Two requests with equal keys are the same work: one is a resend of the other.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key {
+    /// The pool that the request is routed to.
+    pub pool: Name,
+    /// The hash of the request's key, which decides the shard.
+    pub hash: Hash,
+    /// The idempotency key that the caller chose.
+    pub id: Arc<str>,
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.pool, self.hash, self.id)
+    }
+}
