Refuse control characters anywhere in a rules file

Only the comment of a rule was checked, so a comment line could still carry an escape sequence to the terminal of the operator who prints the file.

--- a/wisteriaglade-rules/src/line.rs
+++ b/wisteriaglade-rules/src/line.rs
@@ -229,16 +229,14 @@
     }
 
     fn asked(&mut self, comment: Option<&str>, column: usize) -> Option<(Name, Name)> {
-        let expected =
-            "a comment \"# asked-by, reason\" that names who asked for the rule, in printable text";
+        let expected = "a comment \"# asked-by, reason\" that names who asked for the rule";
         let Some(comment) = comment else {
             self.problem(column, expected.into(), "the end of the line".into());
             return None;
         };
         let (name, reason) = comment.split_once(',').unwrap_or((comment, ""));
         let name = name.trim();
-        // The comment is printed on operators' terminals.
-        if name.is_empty() || comment.contains(char::is_control) {
+        if name.is_empty() {
             let text = comment.trim();
             self.problem(column + 1, expected.into(), quote(text));
             return None;
--- a/wisteriaglade-rules/src/set.rs
+++ b/wisteriaglade-rules/src/set.rs
@@ -53,6 +53,10 @@
         let mut check = Check::default();
         let mut problems = Vec::new();
         for (position, text) in text.lines().enumerate() {
+            if let Some(problem) = unprintable(position + 1, text) {
+                problems.push(problem);
+                continue;
+            }
             let start = text.trim_start();
             if start.is_empty() || start.starts_with('#') {
                 continue;
@@ -135,3 +139,17 @@
         self.longest.get(pool).copied().unwrap_or_default()
     }
 }
+
+/// Refuses control characters, because rules and comments are printed on
+/// operators' terminals.
+fn unprintable(line: usize, text: &str) -> Option<Problem> {
+    let control = |c: char| c.is_control() && c != '\t';
+    let position = text.chars().position(control)?;
+    Some(Problem {
+        kind: Kind::Syntax,
+        line,
+        column: position + 1,
+        expected: "text without control characters".into(),
+        found: "a control character".into(),
+    })
+}
--- a/wisteriaglade-rules/tests/parse.rs
+++ b/wisteriaglade-rules/tests/parse.rs
@@ -151,8 +151,8 @@
 )]
 #[case::escape(
     "r l GET /{key} once deadline=1s length=long weight=1 # R\u{1b}[2J",
-    55,
-    "a comment"
+    57,
+    "without control"
 )]
 fn names_the_column_and_what_was_expected(
     #[case] line: &str,
