Add the storage of the replicated log

Responses may be sent only after a sync, so a change is durable when persist returns. All entries of one change form one record: an interrupted write can then damage the last record only, and damage before an intact record is known to be a fault of the disk.

The tests run on a disk in memory that loses unsynced data and fails one operation.

--- a/wisteriaglade-consensus/src/lib.rs
+++ b/wisteriaglade-consensus/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! [`Raft`] is one replica of a group that agrees on a sequence of entries. It
 //! performs no I/O and reads no clock: a driver feeds it an [`Input`] with the
-//! current time and carries out each [`Output`].
+//! current time and carries out each [`Output`]. [`storage`] is the only module
+//! with I/O.
 //!
 //! # Usage
 //!
-//! 1. Read the durable state of the replica and pass it to [`Raft::new`].
+//! 1. Open the [`Storage`](storage::Storage) of the replica and pass what it
+//!    restored to [`Raft::new`].
 //! 2. Feed [`Input::Tick`] about every 10 ms, each message of another replica
 //!    and each proposal.
 //! 3. Carry out the outputs strictly in order. An [`Output::Persist`] must be
@@ -47,6 +49,7 @@
 mod restored;
 mod role;
 mod snapshot;
+pub mod storage;
 mod vote;
 
 pub use crate::{
--- /dev/null
+++ b/wisteriaglade-consensus/src/storage/frame.rs
@@ -0,0 +1,80 @@
+//! Checksummed records in a file.
+//!
+//! A frame is the length of its content (u32), a CRC-32 of the header, a
+//! CRC-32 of the content, and the content; numbers are little-endian. Both
+//! checksums cover the number of the file and the position of the frame, so
+//! that bytes copied from elsewhere are never taken for a frame.
+
+use crc32fast::Hasher;
+
+/// The size of the length and the two checksums.
+const HEADER: usize = 12;
+
+/// One pass over the frames of a file.
+#[derive(Debug)]
+pub(super) struct Scan<'a> {
+    /// The content of each intact frame, with its position.
+    pub(super) frames: Vec<(usize, &'a [u8])>,
+    /// Where the first damaged frame starts, if there is one.
+    pub(super) damage: Option<Damage>,
+}
+
+/// The first damaged frame of a file.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Damage {
+    /// The position of the frame.
+    pub(super) offset: usize,
+    /// Whether an intact frame follows. A frame is written only after the sync
+    /// of the one before, so the damaged frame was once intact.
+    pub(super) inside: bool,
+}
+
+/// Encodes a frame. Returns `None` when the content exceeds 4 GiB.
+pub(super) fn encode(file: u64, offset: usize, content: &[u8]) -> Option<Vec<u8>> {
+    let length = u32::try_from(content.len()).ok()?.to_le_bytes();
+    let mut bytes = Vec::with_capacity(HEADER + content.len());
+    bytes.extend_from_slice(&length);
+    bytes.extend_from_slice(&checksum(file, offset, &length).to_le_bytes());
+    bytes.extend_from_slice(&checksum(file, offset, content).to_le_bytes());
+    bytes.extend_from_slice(content);
+    Some(bytes)
+}
+
+/// Reads all frames of a file up to the first damaged one.
+pub(super) fn scan(file: u64, bytes: &[u8]) -> Scan<'_> {
+    let mut frames = Vec::new();
+    let mut offset = 0;
+    while offset < bytes.len() {
+        let Some(content) = decode(file, offset, bytes) else {
+            let inside = (offset + 1..bytes.len()).any(|at| decode(file, at, bytes).is_some());
+            let damage = Some(Damage { offset, inside });
+            return Scan { frames, damage };
+        };
+        frames.push((offset, content));
+        offset += HEADER + content.len();
+    }
+    Scan {
+        frames,
+        damage: None,
+    }
+}
+
+/// The content of the frame at a position, when it is intact.
+fn decode(file: u64, offset: usize, bytes: &[u8]) -> Option<&[u8]> {
+    let (header, rest) = bytes.get(offset..)?.split_at_checked(HEADER)?;
+    let (length, checksums) = header.split_at(4);
+    let number = |at: &[u8]| at.try_into().map(u32::from_le_bytes).ok();
+    if number(&checksums[..4])? != checksum(file, offset, length) {
+        return None;
+    }
+    let content = rest.get(..usize::try_from(number(length)?).ok()?)?;
+    (number(&checksums[4..])? == checksum(file, offset, content)).then_some(content)
+}
+
+fn checksum(file: u64, offset: usize, bytes: &[u8]) -> u32 {
+    let mut hasher = Hasher::new();
+    hasher.update(&file.to_le_bytes());
+    hasher.update(&(offset as u64).to_le_bytes());
+    hasher.update(bytes);
+    hasher.finalize()
+}
--- /dev/null
+++ b/wisteriaglade-consensus/src/storage/start.rs
@@ -0,0 +1,176 @@
+//! Reads the durable state back.
+
+use serde::de::DeserializeOwned;
+use wisteriaglade_types::Index;
+
+use super::{
+    Disk, Error, Kind, Result, SEGMENT, SNAPSHOT, Storage, TEMPORARY, VOTE, frame::scan,
+    record::Stored, replay::Replay, segment::Segment,
+};
+use crate::{Entry, Restored, Vote};
+
+/// The file that names the version of the format.
+const FORMAT: &str = "format";
+/// The version of the format. It changes with every incompatible change of
+/// records, entries or file names.
+const VERSION: &str = "wisteriaglade-consensus 1\n";
+
+impl<D: Disk> Storage<D> {
+    /// Reads the durable state from a disk.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Format`], [`Kind::Corrupt`] and [`Kind::Io`].
+    pub fn with(disk: D) -> Result<(Self, Restored)> {
+        let mut storage = Self {
+            disk,
+            segments: Vec::new(),
+            length: 0,
+            limit: SEGMENT,
+            last: Index::new(0),
+            snapshot: None,
+            failed: false,
+        };
+        let restored = storage.start()?;
+        Ok((storage, restored))
+    }
+
+    fn start(&mut self) -> Result<Restored> {
+        let mut names = self.list()?;
+        for name in names.extract_if(.., |name| name.ends_with(TEMPORARY)) {
+            self.remove(&name)?;
+        }
+        self.check_format(&names)?;
+        let voted = names.iter().any(|name| name == VOTE);
+        let vote = if voted {
+            self.load(VOTE, 0)?
+        } else {
+            Vote::default()
+        };
+        let stored = self.load_snapshot(&names)?;
+        let first = stored.as_ref().map_or(1, |stored| stored.first);
+        let snapshot = stored.map(|stored| stored.snapshot);
+        // The first segment is created before any vote or snapshot.
+        self.find_segments(&names, first, voted || snapshot.is_some())?;
+        let replay = self.replay()?;
+        let entries = replay.finish(snapshot.as_ref(), &self.segments[0].name())?;
+        let base = snapshot.as_ref().map_or(Index::new(0), |s| s.index);
+        self.last = entries.last().map_or(base, |entry: &Entry| entry.index);
+        self.snapshot = snapshot.as_ref().map(|snapshot| snapshot.index);
+        Ok(Restored {
+            vote,
+            snapshot,
+            entries,
+        })
+    }
+
+    fn list(&self) -> Result<Vec<String>> {
+        let names = self.disk.list();
+        names.map_err(|error| Error::io("data directory", "list", error))
+    }
+
+    fn read(&self, name: &str) -> Result<Vec<u8>> {
+        let bytes = self.disk.read(name);
+        bytes.map_err(|error| Error::io(name, "read", error))
+    }
+
+    /// Checks the version, or writes it into an empty directory.
+    fn check_format(&mut self, names: &[String]) -> Result<()> {
+        if names.iter().any(|name| name == FORMAT) {
+            let found = self.read(FORMAT)?;
+            if found == VERSION.as_bytes() {
+                return Ok(());
+            }
+            let found = String::from_utf8_lossy(&found);
+            let detail = format!("expected {VERSION:?}, found {found:?}");
+            return Err(Error::new(Kind::Format, FORMAT, detail));
+        }
+        let own = |name: &&String| {
+            *name == VOTE || Segment::parse(name).is_some() || name.starts_with(SNAPSHOT)
+        };
+        if let Some(name) = names.iter().find(own) {
+            let detail = format!("the file is missing, but {name} exists");
+            return Err(Error::new(Kind::Format, FORMAT, detail));
+        }
+        self.replace_bytes(FORMAT, VERSION.as_bytes())
+    }
+
+    /// Reads a file that consists of one frame.
+    fn load<T: DeserializeOwned>(&self, name: &str, number: u64) -> Result<T> {
+        let bytes = self.read(name)?;
+        let scan = scan(number, &bytes);
+        match (scan.frames.as_slice(), scan.damage) {
+            ([(_, content)], None) => postcard::from_bytes(content)
+                .map_err(|error| Error::corrupt(name, 0, error.to_string())),
+            (_, Some(damage)) => {
+                let detail = "the checksum does not match";
+                Err(Error::corrupt(name, damage.offset as u64, detail))
+            }
+            _ => Err(Error::corrupt(name, 0, "expected one record")),
+        }
+    }
+
+    /// Reads the newest snapshot and removes older ones.
+    fn load_snapshot(&mut self, names: &[String]) -> Result<Option<Stored>> {
+        let index = |name: &String| name.strip_prefix(SNAPSHOT)?.parse::<u64>().ok();
+        let Some(newest) = names.iter().filter_map(index).max() else {
+            return Ok(None);
+        };
+        let name = format!("{SNAPSHOT}{newest:020}");
+        let stored: Stored = self.load(&name, newest)?;
+        if stored.snapshot.index.get() != newest {
+            return Err(Error::corrupt(&name, 0, "the name has another index"));
+        }
+        for old in names.iter().filter(|name| name.starts_with(SNAPSHOT)) {
+            if *old != name {
+                self.remove(old)?;
+            }
+        }
+        Ok(Some(stored))
+    }
+
+    /// Lists the segments from `first` on and removes earlier ones.
+    fn find_segments(&mut self, names: &[String], first: u64, must_exist: bool) -> Result<()> {
+        let mut numbers: Vec<_> = names
+            .iter()
+            .filter_map(|name| Segment::parse(name))
+            .collect();
+        numbers.sort_unstable();
+        for number in numbers.extract_if(.., |number| *number < first) {
+            self.remove(&Segment::new(number).name())?;
+        }
+        if numbers.is_empty() && !must_exist {
+            return self.roll();
+        }
+        let last = numbers.last().copied().unwrap_or(first);
+        for number in first..=last {
+            let segment = Segment::new(number);
+            if numbers.binary_search(&number).is_err() {
+                return Err(Error::corrupt(&segment.name(), 0, "the file is missing"));
+            }
+            self.segments.push(segment);
+        }
+        Ok(())
+    }
+
+    /// Reads all segments and removes an incomplete record at the end.
+    fn replay(&mut self) -> Result<Replay> {
+        let mut replay = Replay::default();
+        let count = self.segments.len();
+        for position in 0..count {
+            let mut segment = self.segments[position];
+            let name = segment.name();
+            let bytes = self.read(&name)?;
+            let last = position + 1 == count;
+            self.length = replay.read(&mut segment, &bytes, last)?;
+            self.segments[position] = segment;
+            if self.length < bytes.len() as u64 {
+                let cut = self.disk.truncate(&name, self.length);
+                cut.map_err(|error| Error::io(&name, "truncate", error))?;
+                let synced = self.disk.sync(&name);
+                synced.map_err(|error| Error::io(&name, "sync", error))?;
+            }
+        }
+        Ok(replay)
+    }
+}
--- /dev/null
+++ b/wisteriaglade-consensus/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Shared by the test files.
+
+pub mod disk;
