Send the body of a request to the target

The body was replaced by an empty one under its old content-length, so the target waited for 9 bytes that never came and the booking of the quickstart ended with 504 at its deadline. After the change it answers 200.

--- a/wisteriaglade-node/src/work.rs
+++ b/wisteriaglade-node/src/work.rs
@@ -172,13 +172,13 @@
 
 async fn dispatch(
     context: &Arc<Context>,
-    job: Job,
+    mut job: Job,
     grant: Grant,
     mut ticket: Ticket,
 ) -> Result<Response<Body>, Refusal> {
     let once = grant.rule.execution == Execution::Once;
     let deadline = context.clock.instant(job.deadline);
-    let request = outgoing(context, &job, &grant)?;
+    let request = outgoing(context, &mut job, &grant)?;
     let cancel = job.cancel.clone();
     let abandon = ticket.cancel.clone();
     let send = context.client.send(grant.target, request);
@@ -219,17 +219,17 @@
 /// The request as the target gets it.
 fn outgoing(
     context: &Context,
-    job: &Job,
+    job: &mut Job,
     grant: &Grant,
 ) -> Result<HttpRequest<Body>, Refusal> {
     let remaining = job.deadline.saturating_sub(context.clock.now());
     if remaining.is_zero() {
         return Err(Refusal::not_run(Reason::Deadline, "the deadline has passed"));
     }
-    let mut request = HttpRequest::new(Body::empty());
+    let mut request = HttpRequest::new(std::mem::replace(&mut job.body, Body::empty()));
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
-    *request.headers_mut() = job.headers.clone();
+    *request.headers_mut() = std::mem::take(&mut job.headers);
     let headers = request.headers_mut();
     set(headers, names::EPOCH, grant.epoch.get());
     set(headers, names::SHARD, grant.shard.get());
