Add the owner's side of at-most-once requests

A request runs only after a majority of the holders has its start, and its caller is answered only after a majority has the outcome. A new owner fences and reads a majority and writes what it read back under its own epoch before anything runs. While a holder is replaced, writes need a majority of both sets. A start that is given up is withdrawn before its request is refused, so that a resend is not reported as unknown for a whole retention.

--- a/wisteriaglade-once/src/owner.rs
+++ b/wisteriaglade-once/src/owner.rs
@@ -1,8 +1,204 @@
 //! The owner's side: decides which requests may run.
 
+mod begin;
+mod calls;
 mod config;
+mod context;
 mod effect;
+mod entry;
 mod event;
+mod grant;
+mod link;
+mod place;
 mod reason;
+mod sets;
 
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use wisteriaglade_types::{Epoch, Node, Request};
+
+use self::{begin::Begin, calls::Calls, context::Context, grant::Grant, place::Place};
 pub use self::{config::Config, effect::Effect, event::Event, reason::Reason};
+use crate::{Answer, Cover, Key, holder::Reply};
+
+/// The owner's side of a process, for all its shards.
+#[derive(Debug)]
+pub struct Owner {
+    config: Config,
+    grants: BTreeMap<Place, Grant>,
+    calls: Calls,
+    requests: HashMap<Request, (Place, Key)>,
+}
+
+impl Owner {
+    /// An owner without shards.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            grants: BTreeMap::new(),
+            calls: Calls::default(),
+            requests: HashMap::new(),
+        }
+    }
+
+    /// Handles one event. `now` is the time since process start and never runs
+    /// backwards. What has to be done is added to `effects`.
+    pub fn step(&mut self, now: Duration, event: Event, effects: &mut Vec<Effect>) {
+        let mut cx = Context {
+            now,
+            config: &self.config,
+            calls: &mut self.calls,
+            requests: &mut self.requests,
+            effects,
+        };
+        let grants = &mut self.grants;
+        match event {
+            Event::Own {
+                pool,
+                shard,
+                epoch,
+                cover,
+                holders,
+            } => own(
+                grants,
+                &mut cx,
+                Place { pool, shard },
+                epoch,
+                cover,
+                holders,
+            ),
+            Event::Disown { pool, shard } => {
+                if let Some(grant) = grants.get_mut(&Place { pool, shard }) {
+                    grant.disown(&mut cx);
+                }
+            }
+            Event::Replace {
+                pool,
+                shard,
+                holders,
+            } => {
+                if let Some(grant) = grants.get_mut(&Place { pool, shard }) {
+                    grant.replace(&mut cx, holders);
+                }
+            }
+            Event::Begin {
+                shard,
+                key,
+                fingerprint,
+                request,
+                deadline,
+            } => {
+                let pool = key.pool.clone();
+                let begin = Begin {
+                    key,
+                    fingerprint,
+                    request,
+                    deadline,
+                };
+                admit(grants, &mut cx, Place { pool, shard }, begin);
+            }
+            Event::Finish { request, answer } => finish(grants, &mut cx, request, answer),
+            Event::Abort { request } => {
+                if let Some((place, key)) = cx.requests.get(&request).cloned()
+                    && let Some(grant) = grants.get_mut(&place)
+                {
+                    grant.abort(&mut cx, &key, request);
+                }
+            }
+            Event::Reply { from, call, reply } => answer(grants, &mut cx, from, call, reply),
+            Event::Lost { node } => {
+                for call in cx.calls.lost(node) {
+                    if let Some(grant) = grants.get_mut(&call.place) {
+                        grant.fail_call(&mut cx, call, true);
+                    }
+                }
+                for grant in grants.values_mut() {
+                    grant.lose(&mut cx, node);
+                }
+            }
+            Event::Tick => tick(grants, &mut cx),
+        }
+        self.grants.retain(|_, grant| !grant.is_over());
+    }
+
+    /// The number of requests that have had no final effect.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+}
+
+type Grants = BTreeMap<Place, Grant>;
+
+fn own(
+    grants: &mut Grants,
+    cx: &mut Context<'_>,
+    place: Place,
+    epoch: Epoch,
+    cover: Cover,
+    holders: Vec<Node>,
+) {
+    let mut carried = (Vec::new(), Vec::new());
+    let known = grants.get(&place).map(Grant::epoch);
+    if known.is_none_or(|known| known < epoch) {
+        let older = grants.iter_mut().filter(|(other, grant)| {
+            other.pool == place.pool && **other != place && grant.epoch() < epoch
+        });
+        for (_, grant) in older {
+            let (entries, queue) = grant.release(&place, &cover);
+            carried.0.extend(entries);
+            carried.1.extend(queue);
+        }
+    }
+    let grant = grants
+        .entry(place.clone())
+        .or_insert_with(|| Grant::new(place));
+    grant.own(cx, epoch, cover, holders, carried);
+}
+
+fn admit(grants: &mut Grants, cx: &mut Context<'_>, place: Place, begin: Begin) {
+    if cx.requests.contains_key(&begin.request) {
+        return;
+    }
+    match grants.get_mut(&place) {
+        Some(grant) => {
+            cx.requests
+                .insert(begin.request, (place, begin.key.clone()));
+            grant.admit(cx, begin);
+        }
+        None => cx.refuse(begin.request, Reason::NotOwner),
+    }
+}
+
+fn finish(grants: &mut Grants, cx: &mut Context<'_>, request: Request, answer: Option<Answer>) {
+    if let Some((place, key)) = cx.requests.get(&request).cloned()
+        && let Some(grant) = grants.get_mut(&place)
+    {
+        grant.finish(cx, &key, request, answer);
+    }
+}
+
+fn answer(grants: &mut Grants, cx: &mut Context<'_>, from: Node, call: u64, reply: Reply) {
+    if let Some(call) = cx.calls.close(from, call)
+        && let Some(grant) = grants.get_mut(&call.place)
+    {
+        grant.reply(cx, call, reply);
+    }
+}
+
+fn tick(grants: &mut Grants, cx: &mut Context<'_>) {
+    if let Some(until) = cx.now.checked_sub(cx.config.resend) {
+        for call in cx.calls.late(until) {
+            if let Some(grant) = grants.get_mut(&call.place) {
+                grant.fail_call(cx, call, false);
+            }
+        }
+    }
+    for grant in grants.values_mut() {
+        grant.tick(cx);
+    }
+}
--- /dev/null
+++ b/wisteriaglade-once/src/owner/context.rs
@@ -0,0 +1,52 @@
+use std::{collections::HashMap, time::Duration};
+
+use wisteriaglade_types::Request;
+
+use super::{
+    Config, Effect, Place, Reason,
+    calls::{Call, Calls},
+};
+use crate::{Answer, Key, holder::Message};
+
+/// What the shards of an owner share during one step.
+#[derive(Debug)]
+pub(super) struct Context<'a> {
+    pub(super) now: Duration,
+    pub(super) config: &'a Config,
+    pub(super) calls: &'a mut Calls,
+    /// The requests without a final effect.
+    pub(super) requests: &'a mut HashMap<Request, (Place, Key)>,
+    pub(super) effects: &'a mut Vec<Effect>,
+}
+
+impl Context<'_> {
+    pub(super) fn call(&mut self, call: Call, message: Message) {
+        let to = call.to;
+        let call = self.calls.open(self.now, call);
+        self.effects.push(Effect::Call { to, call, message });
+    }
+
+    pub(super) fn run(&mut self, request: Request) {
+        self.effects.push(Effect::Run { request });
+    }
+
+    pub(super) fn refuse(&mut self, request: Request, reason: Reason) {
+        self.requests.remove(&request);
+        self.effects.push(Effect::Refuse { request, reason });
+    }
+
+    pub(super) fn unknown(&mut self, request: Request) {
+        self.requests.remove(&request);
+        self.effects.push(Effect::Unknown { request });
+    }
+
+    pub(super) fn replay(&mut self, request: Request, answer: Answer) {
+        self.requests.remove(&request);
+        self.effects.push(Effect::Replay { request, answer });
+    }
+
+    pub(super) fn acknowledge(&mut self, request: Request, answer: Answer) {
+        self.requests.remove(&request);
+        self.effects.push(Effect::Acknowledge { request, answer });
+    }
+}
--- /dev/null
+++ b/wisteriaglade-once/src/owner/grant/replies.rs
@@ -0,0 +1,231 @@
+//! What the replies of holders, and their absence, change in a grant.
+
+use std::time::Duration;
+
+use wisteriaglade_types::{Hash, Node};
+
+use super::{Grant, Phase};
+use crate::{
+    Key, Record, State,
+    holder::{Cursor, Reply},
+    owner::{
+        calls::{Call, Kind},
+        context::Context,
+        entry::{Failure, Mark, Stage},
+    },
+};
+
+impl Grant {
+    pub(in crate::owner) fn reply(&mut self, cx: &mut Context<'_>, call: Call, reply: Reply) {
+        if call.epoch != self.epoch || !self.links.contains_key(&call.to) {
+            return;
+        }
+        self.idle(&call, Duration::ZERO);
+        let node = call.to;
+        match (call.kind, reply) {
+            (kind, Reply::Stale { hash, .. }) => self.stale(cx, node, kind, hash),
+            (Kind::Fence, Reply::Records { records, next }) => {
+                self.take(cx, node, records, next);
+            }
+            (Kind::Write { key, mark }, Reply::Done) => {
+                self.acknowledge(cx, node, &key, mark);
+            }
+            (Kind::Write { key, .. }, Reply::Full) => self.fail(cx, node, key, Failure::Full),
+            (Kind::Write { key, mark }, Reply::Held(record)) => {
+                self.adopt(cx, &key, mark, *record);
+            }
+            (Kind::Write { key, .. }, _) => self.plan(node, key),
+            (Kind::Copy { marks }, Reply::Done) => {
+                for (key, mark) in marks {
+                    self.acknowledge(cx, node, &key, mark);
+                }
+                if let Some(link) = self.links.get_mut(&node) {
+                    let empty = link.todo.is_empty() && link.blocked.is_empty();
+                    link.synced |= empty;
+                    link.single &= !link.todo.is_empty();
+                }
+            }
+            (Kind::Copy { marks }, _) => self.full(cx, node, marks),
+            (Kind::Fence, _) => {}
+        }
+        self.flush(cx, node);
+        self.progress(cx);
+    }
+
+    /// A call without a reply: it may have taken effect or not.
+    pub(in crate::owner) fn fail_call(&mut self, cx: &mut Context<'_>, call: Call, lost: bool) {
+        if call.epoch != self.epoch || !self.links.contains_key(&call.to) {
+            return;
+        }
+        self.idle(&call, cx.now + cx.config.resend);
+        let keys = match call.kind {
+            Kind::Fence => Vec::new(),
+            Kind::Write { key, .. } => vec![key],
+            Kind::Copy { marks } => marks.into_iter().map(|(key, _)| key).collect(),
+        };
+        for key in keys {
+            if lost {
+                self.fail(cx, call.to, key, Failure::Lost);
+            } else {
+                self.plan(call.to, key);
+            }
+        }
+    }
+
+    fn idle(&mut self, call: &Call, retry: Duration) {
+        if let Some(link) = self.links.get_mut(&call.to) {
+            link.retry = link.retry.max(retry);
+            link.busy &= matches!(call.kind, Kind::Write { .. });
+        }
+    }
+
+    /// Takes a page of records from a fenced holder.
+    fn take(
+        &mut self,
+        cx: &mut Context<'_>,
+        node: Node,
+        records: Vec<Record>,
+        next: Option<Cursor>,
+    ) {
+        if let Some(link) = self.links.get_mut(&node) {
+            link.read = next.is_none();
+            link.cursor = next;
+        }
+        for record in records {
+            if self.phase != Phase::Reading {
+                self.upgrade(cx, record);
+                continue;
+            }
+            let known = self.read.get(&record.key);
+            if known.is_none_or(|known| record.supersedes(known)) {
+                self.read.insert(record.key.clone(), record);
+            }
+        }
+    }
+
+    /// An outcome that no holder of the first majority had. It was never
+    /// acknowledged, but it is better than unknown.
+    fn upgrade(&mut self, cx: &mut Context<'_>, record: Record) {
+        let key = record.key.clone();
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return;
+        };
+        if entry.record.state == State::Unknown && matches!(record.state, State::Ended(_)) {
+            let until = cx.now;
+            entry.change(record.state, Stage::Ending { until, told: true });
+            self.active.insert(key.clone());
+            self.spread(cx, &key);
+        }
+    }
+
+    /// A holder had an outcome that the owner no longer knew: it outlived the
+    /// retention of the owner.
+    fn adopt(&mut self, cx: &mut Context<'_>, key: &Key, mark: Mark, record: Record) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        let Stage::Starting { deadline } = entry.stage else {
+            return;
+        };
+        if entry.mark() != mark || !matches!(record.state, State::Ended(_)) {
+            return;
+        }
+        let mut waiters = std::mem::take(&mut entry.waiters);
+        waiters.push(entry.begin(deadline));
+        entry.record = record.clone();
+        let until = cx.now;
+        entry.change(record.state, Stage::Ending { until, told: true });
+        self.spread(cx, key);
+        for waiter in waiters {
+            self.admit(cx, waiter);
+        }
+    }
+
+    fn acknowledge(&mut self, cx: &mut Context<'_>, node: Node, key: &Key, mark: Mark) {
+        if let Some(entry) = self.entries.get_mut(key)
+            && entry.mark() == mark
+        {
+            entry.acknowledge(node);
+            self.advance(cx, key);
+        }
+    }
+
+    fn plan(&mut self, node: Node, key: Key) {
+        if let Some(link) = self.links.get_mut(&node) {
+            link.todo.insert(key);
+        }
+    }
+
+    fn fail(&mut self, cx: &mut Context<'_>, node: Node, key: Key, failure: Failure) {
+        if let Some(entry) = self.entries.get_mut(&key)
+            && !entry.acks.contains(&node)
+        {
+            entry.fail(node, failure);
+            self.advance(cx, &key);
+        }
+        if failure == Failure::Full
+            && let Some(link) = self.links.get_mut(&node)
+        {
+            link.blocked.insert(key);
+            link.unblock = cx.now + cx.config.propose;
+        } else if failure == Failure::Lost {
+            self.plan(node, key);
+        }
+    }
+
+    /// A page did not fit. Records are then copied one by one, so that those with
+    /// reserved room get through.
+    fn full(&mut self, cx: &mut Context<'_>, node: Node, marks: Vec<(Key, Mark)>) {
+        let single = marks.len() == 1;
+        if let Some(link) = self.links.get_mut(&node) {
+            link.single = true;
+        }
+        for (key, _) in marks {
+            if single {
+                self.fail(cx, node, key, Failure::Full);
+            } else {
+                self.plan(node, key);
+            }
+        }
+    }
+
+    /// A holder has seen a higher epoch of the shard, or of one key.
+    fn stale(&mut self, cx: &mut Context<'_>, node: Node, kind: Kind, hash: Option<Hash>) {
+        if let Some(hash) = hash {
+            self.moved.insert(hash);
+        } else {
+            self.fenced = true;
+            if let Some(link) = self.links.get_mut(&node) {
+                link.stale = true;
+            }
+        }
+        if let Kind::Copy { marks } = kind {
+            for (key, _) in marks {
+                if Some(key.hash) != hash {
+                    self.plan(node, key);
+                }
+            }
+        }
+        self.withdraw_all(cx);
+        let concerned = |key: &&Key| hash.is_none_or(|hash| key.hash == hash);
+        let keys: Vec<_> = self.active.iter().filter(concerned).cloned().collect();
+        for key in keys {
+            self.fail(cx, node, key, Failure::Stale);
+        }
+    }
+
+    /// All calls to a node failed: starts that wait for it do not wait longer.
+    pub(in crate::owner) fn lose(&mut self, cx: &mut Context<'_>, node: Node) {
+        if !self.links.contains_key(&node) {
+            return;
+        }
+        let starting = |key: &&Key| {
+            let entry = self.entries.get(*key);
+            entry.is_some_and(|entry| matches!(entry.stage, Stage::Starting { .. }))
+        };
+        let keys: Vec<_> = self.active.iter().filter(starting).cloned().collect();
+        for key in keys {
+            self.fail(cx, node, key, Failure::Lost);
+        }
+    }
+}
--- /dev/null
+++ b/wisteriaglade-once/src/owner/grant/work.rs
@@ -0,0 +1,294 @@
+//! The requests of a grant, from their arrival to their final effect.
+
+use std::{mem, time::Duration};
+
+use wisteriaglade_types::{Hash, Node, Request};
+
+use super::{Grant, Phase};
+use crate::{
+    Answer, Key, Record, State,
+    holder::Message,
+    owner::{
+        Begin, Reason,
+        calls::{Call, Kind},
+        context::Context,
+        entry::{Entry, Failure, Stage},
+    },
+};
+
+impl Grant {
+    /// Admits a request, or lets it wait until the shard is ready.
+    pub(in crate::owner) fn admit(&mut self, cx: &mut Context<'_>, begin: Begin) {
+        if !self.may_start(begin.key.hash) {
+            cx.refuse(begin.request, Reason::NotOwner);
+        } else if begin.deadline <= cx.now {
+            cx.refuse(begin.request, Reason::Deadline);
+        } else if self.phase == Phase::Ready {
+            self.decide(cx, begin);
+        } else {
+            self.queue.push_back(begin);
+        }
+    }
+
+    fn decide(&mut self, cx: &mut Context<'_>, begin: Begin) {
+        let Some(entry) = self.entries.get_mut(&begin.key) else {
+            return self.start(cx, begin);
+        };
+        let withdrawn = entry.record.state == State::Aborted && entry.stage == Stage::Settled;
+        if withdrawn {
+            return self.start(cx, begin);
+        }
+        if entry.record.fingerprint != begin.fingerprint {
+            return cx.refuse(begin.request, Reason::Mismatch);
+        }
+        match (&entry.record.state, entry.stage) {
+            (State::Ended(answer), Stage::Settled) => cx.replay(begin.request, answer.clone()),
+            (_, Stage::Settled) => cx.unknown(begin.request),
+            _ => entry.waiters.push(begin),
+        }
+    }
+
+    fn start(&mut self, cx: &mut Context<'_>, begin: Begin) {
+        self.attempt += 1;
+        let record = Record {
+            key: begin.key,
+            epoch: self.epoch,
+            attempt: self.attempt,
+            fingerprint: begin.fingerprint,
+            request: begin.request,
+            state: State::Started,
+            written: Duration::ZERO,
+        };
+        let deadline = begin.deadline;
+        let stage = Stage::Starting { deadline };
+        let entry = Entry::new(cx.now, cx.config, record.clone(), stage);
+        let key = record.key.clone();
+        self.insert(entry);
+        let (shard, epoch) = (self.place.shard, self.epoch);
+        let message = Message::Start {
+            shard,
+            epoch,
+            record,
+        };
+        self.write(cx, &key, &message);
+    }
+
+    /// Takes the outcome of a request that runs.
+    pub(in crate::owner) fn finish(
+        &mut self,
+        cx: &mut Context<'_>,
+        key: &Key,
+        request: Request,
+        answer: Option<Answer>,
+    ) {
+        let Some(entry) = self.running(key, request) else {
+            return;
+        };
+        let Some(answer) = answer.map(Answer::clip) else {
+            entry.change(State::Unknown, Stage::Settled);
+            let waiters = mem::take(&mut entry.waiters);
+            self.active.remove(key);
+            cx.unknown(request);
+            for waiter in waiters {
+                cx.unknown(waiter.request);
+            }
+            return self.spread(cx, key);
+        };
+        let until = cx.now + cx.config.record;
+        let stage = Stage::Ending { until, told: false };
+        entry.change(State::Ended(answer.clone()), stage);
+        let (start, attempt) = entry.record.version();
+        if start == self.epoch {
+            let message = Message::End {
+                shard: self.place.shard,
+                epoch: self.epoch,
+                key: key.clone(),
+                attempt,
+                answer,
+            };
+            self.write(cx, key, &message);
+        } else {
+            self.spread(cx, key);
+        }
+    }
+
+    /// Takes the report that a request after its dispatch certainly did not run.
+    pub(in crate::owner) fn abort(&mut self, cx: &mut Context<'_>, key: &Key, request: Request) {
+        if self.running(key, request).is_some() {
+            self.withdraw(cx, key, Reason::Aborted);
+        }
+    }
+
+    /// Withdraws the starts that may no longer run here.
+    pub(super) fn withdraw_all(&mut self, cx: &mut Context<'_>) {
+        for begin in mem::take(&mut self.queue) {
+            self.admit(cx, begin);
+        }
+        for key in self.active.clone() {
+            self.advance(cx, &key);
+        }
+    }
+
+    /// Applies what the replies so far mean for an entry.
+    pub(super) fn advance(&mut self, cx: &mut Context<'_>, key: &Key) {
+        let may_start = self.may_start(key.hash);
+        // A key that left the cover has another owner, whose holders may differ by
+        // now. A majority of the own ones then proves nothing.
+        let mine = self.cover.contains(self.place.shard, key.hash);
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        let held = mine && self.sets.majority(|node| entry.acks.contains(&node));
+        let hopeless = !mine || !self.sets.majority(|node| !entry.is_stale(node));
+        match entry.stage {
+            Stage::Starting { .. } if !may_start => self.withdraw(cx, key, Reason::NotOwner),
+            Stage::Starting { deadline } if deadline <= cx.now => {
+                self.withdraw(cx, key, Reason::Deadline);
+            }
+            Stage::Starting { .. } if held => {
+                entry.stage = Stage::Running;
+                cx.run(entry.record.request);
+            }
+            Stage::Starting { .. } if !self.sets.majority(|node| !entry.is_failed(node)) => {
+                let full = |(_, failure): &(Node, Failure)| *failure == Failure::Full;
+                let reason = if entry.failed.iter().any(full) {
+                    Reason::Full
+                } else {
+                    Reason::Unavailable
+                };
+                self.withdraw(cx, key, reason);
+            }
+            Stage::Ending { told, .. } if held => self.settle(cx, key, told),
+            Stage::Ending { until, told: false } if hopeless || until <= cx.now => {
+                entry.stage = Stage::Ending { until, told: true };
+                cx.unknown(entry.record.request);
+            }
+            Stage::Aborting { until, reason } if held || hopeless || until <= cx.now => {
+                self.refuse(cx, key, reason);
+            }
+            _ => {}
+        }
+    }
+
+    /// The part of a tick that concerns requests and the owner's copy.
+    pub(super) fn tick_work(&mut self, cx: &mut Context<'_>) {
+        self.withdraw_all(cx);
+        let now = cx.now;
+        for key in self.active.clone() {
+            let Some(entry) = self.entries.get_mut(&key) else {
+                continue;
+            };
+            let aborting = matches!(entry.stage, Stage::Aborting { .. });
+            for late in entry.waiters.extract_if(.., |begin| begin.deadline <= now) {
+                if aborting {
+                    cx.refuse(late.request, Reason::Deadline);
+                } else {
+                    cx.unknown(late.request);
+                }
+            }
+        }
+        while let Some((expires, key)) = self.expiry.first().cloned() {
+            if expires > now || self.entries.get(&key).is_some_and(Entry::is_open) {
+                break;
+            }
+            self.expiry.pop_first();
+            self.active.remove(&key);
+            self.entries.remove(&key);
+        }
+    }
+
+    /// Sends the present state of an entry to all holders by copies.
+    pub(super) fn spread(&mut self, cx: &mut Context<'_>, key: &Key) {
+        for node in self.sets.nodes() {
+            if let Some(link) = self.links.get_mut(&node) {
+                link.todo.insert(key.clone());
+            }
+            self.flush(cx, node);
+        }
+    }
+
+    fn may_start(&self, hash: Hash) -> bool {
+        let here = self.cover.contains(self.place.shard, hash) && !self.moved.contains(&hash);
+        here && !self.closing && !self.fenced
+    }
+
+    fn running(&mut self, key: &Key, request: Request) -> Option<&mut Entry> {
+        let entry = self.entries.get_mut(key)?;
+        let matches = entry.stage == Stage::Running && entry.record.request == request;
+        matches.then_some(entry)
+    }
+
+    /// Withdraws a start before the request is refused, so that a resend does not
+    /// find a start without an end.
+    fn withdraw(&mut self, cx: &mut Context<'_>, key: &Key, reason: Reason) {
+        let Some(mut entry) = self.entries.get(key).cloned() else {
+            return;
+        };
+        let until = cx.now + cx.config.grace;
+        entry.change(State::Aborted, Stage::Aborting { until, reason });
+        entry.expires = cx.now + cx.config.tombstone;
+        let record = entry.export(cx.now, cx.config);
+        self.insert(entry);
+        let (shard, epoch) = (self.place.shard, self.epoch);
+        let message = Message::Abort {
+            shard,
+            epoch,
+            record,
+        };
+        self.write(cx, key, &message);
+    }
+
+    /// The outcome is held by a majority.
+    fn settle(&mut self, cx: &mut Context<'_>, key: &Key, told: bool) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        let State::Ended(answer) = entry.record.state.clone() else {
+            return;
+        };
+        entry.stage = Stage::Settled;
+        let request = entry.record.request;
+        let waiters = mem::take(&mut entry.waiters);
+        self.active.remove(key);
+        if !told {
+            cx.acknowledge(request, answer.clone());
+        }
+        for waiter in waiters {
+            cx.replay(waiter.request, answer.clone());
+        }
+    }
+
+    /// The withdrawal of a start is done: refuses its request, and lets a resend
+    /// that waited for it start anew.
+    fn refuse(&mut self, cx: &mut Context<'_>, key: &Key, reason: Reason) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        entry.stage = Stage::Settled;
+        let request = entry.record.request;
+        let waiters = mem::take(&mut entry.waiters);
+        self.active.remove(key);
+        cx.refuse(request, reason);
+        for waiter in waiters {
+            self.admit(cx, waiter);
+        }
+    }
+
+    fn write(&mut self, cx: &mut Context<'_>, key: &Key, message: &Message) {
+        let Some(mark) = self.entries.get(key).map(Entry::mark) else {
+            return;
+        };
+        for to in self.sets.nodes() {
+            let call = Call {
+                to,
+                place: self.place.clone(),
+                epoch: self.epoch,
+                kind: Kind::Write {
+                    key: key.clone(),
+                    mark,
+                },
+            };
+            cx.call(call, message.clone());
+        }
+    }
+}
