Set record holders only against the holders that the proposer saw

A late copy of an earlier change could bring back a holder set that lacks later records. Hold now names its base.

--- a/wisteriaglade-control/src/command.rs
+++ b/wisteriaglade-control/src/command.rs
@@ -91,6 +91,9 @@
         shard: Shard,
         /// The epoch of the current grant.
         epoch: Epoch,
+        /// The holders that the proposer saw. Without it, a late copy of an
+        /// earlier change could bring back holders that lack later records.
+        base: Vec<Node>,
         /// The new holders, at most [`State::HOLDERS`](crate::State::HOLDERS).
         holders: Vec<Node>,
     },
--- a/wisteriaglade-control/src/state/apply.rs
+++ b/wisteriaglade-control/src/state/apply.rs
@@ -41,8 +41,9 @@
                 pool,
                 shard,
                 epoch,
+                base,
                 holders,
-            } => self.hold(*node, pool, *shard, *epoch, holders),
+            } => self.hold(*node, pool, *shard, *epoch, (base, holders)),
             Command::Single { pool, hash } => self.single(pool, *hash),
             Command::Merge { pool, hash } => self.merge(pool, *hash),
             Command::Change {
@@ -229,7 +230,7 @@
         pool: &Name,
         shard: Shard,
         epoch: Epoch,
-        holders: &[Node],
+        (base, holders): (&[Node], &[Node]),
     ) -> Effect {
         let row = *self.row(pool, shard)?;
         if row.owner != node || node == Row::NONE {
@@ -241,6 +242,9 @@
         if self.is_fenced(node) {
             return Err(Reason::Fenced);
         }
+        if row.holders() != base {
+            return Err(Reason::Holders);
+        }
         self.require_holders(holders)?;
         self.row_mut(pool, shard)?.set_holders(holders);
         Ok(Reply::Accepted)
--- a/wisteriaglade-control/tests/commands.rs
+++ b/wisteriaglade-control/tests/commands.rs
@@ -46,12 +46,13 @@
     Command::Announce { node, pool, target }
 }
 
-fn hold(node: Node, epoch: u64, holders: &[Node]) -> Command {
+fn hold(node: Node, epoch: u64, base: &[Node], holders: &[Node]) -> Command {
     Command::Hold {
         node,
         pool: POOL.into(),
         shard: Shard::new(0),
         epoch: Epoch::new(epoch),
+        base: base.to_vec(),
         holders: holders.to_vec(),
     }
 }
@@ -112,13 +113,14 @@
 #[case::another_node_releases(release(B, 1, EPOCH[1]), refused(Reason::NotOwner))]
 #[case::a_late_release_of_an_earlier_grant(release(A, 1, 2), refused(Reason::Epoch))]
 #[case::a_release_to_nobody(release(A, 0, EPOCH[0]), refused(Reason::NotMoving))]
-#[case::the_owner_cannot_replace_a_holder(hold(A, EPOCH[0], &[A, B, C]), ACCEPTED)]
-#[case::an_old_owner_replaces_a_holder(hold(A, 3, &[A, B, C]), refused(Reason::Epoch))]
-#[case::another_node_replaces_a_holder(hold(B, EPOCH[0], &[A, B, C]), refused(Reason::NotOwner))]
-#[case::a_fenced_holder(hold(A, EPOCH[0], &[A, FENCED]), refused(Reason::Holders))]
-#[case::a_repeated_holder(hold(A, EPOCH[0], &[B, B]), refused(Reason::Holders))]
-#[case::no_holder(hold(A, EPOCH[0], &[]), refused(Reason::Holders))]
-#[case::four_holders(hold(A, EPOCH[0], &[A, B, C, JOINED]), refused(Reason::Holders))]
+#[case::the_owner_cannot_replace_a_holder(hold(A, EPOCH[0], &[B, C], &[A, B, C]), ACCEPTED)]
+#[case::an_old_owner_replaces_a_holder(hold(A, 3, &[B, C], &[A, B, C]), refused(Reason::Epoch))]
+#[case::another_node_replaces_a_holder(hold(B, EPOCH[0], &[B, C], &[A, B, C]), refused(Reason::NotOwner))]
+#[case::a_fenced_holder(hold(A, EPOCH[0], &[B, C], &[A, FENCED]), refused(Reason::Holders))]
+#[case::a_repeated_holder(hold(A, EPOCH[0], &[B, C], &[B, B]), refused(Reason::Holders))]
+#[case::no_holder(hold(A, EPOCH[0], &[B, C], &[]), refused(Reason::Holders))]
+#[case::a_late_copy_brings_back_old_holders(hold(A, EPOCH[0], &[B], &[A]), refused(Reason::Holders))]
+#[case::four_holders(hold(A, EPOCH[0], &[B, C], &[A, B, C, JOINED]), refused(Reason::Holders))]
 #[case::a_hot_key_stays(single(0), ACCEPTED)]
 #[case::a_key_of_a_moving_shard_splits(single(1), refused(Reason::Moving))]
 #[case::a_key_of_a_fenced_owner_splits(single(2), refused(Reason::NoOwner))]
@@ -192,9 +194,9 @@
     assert_eq!(cluster.apply(&merge(0)), refused(Reason::Owned));
     cluster.apply(&transfer(4, A));
     cluster.apply(&release(C, 4, cluster.epoch(4)));
-    cluster.apply(&hold(A, EPOCH[0], &[C]));
+    cluster.apply(&hold(A, EPOCH[0], &[B, C], &[C]));
     assert_eq!(cluster.apply(&merge(0)), refused(Reason::Holders));
-    cluster.apply(&hold(A, EPOCH[0], &[C, B]));
+    cluster.apply(&hold(A, EPOCH[0], &[C], &[C, B]));
     let dedicated = cluster.epoch(4);
     assert_eq!(cluster.apply(&merge(0)), Reply::Accepted);
 
--- a/wisteriaglade-control/tests/random.rs
+++ b/wisteriaglade-control/tests/random.rs
@@ -49,6 +49,7 @@
             pool,
             shard: Shard::new(shard),
             epoch: Epoch::new(epoch),
+            base: state.holders(POOL, Shard::new(shard)).to_vec(),
             holders: vec![one, two],
         },
         87..92 => Command::Single { pool, hash },
--- a/wisteriaglade-node/src/context.rs
+++ b/wisteriaglade-node/src/context.rs
@@ -9,7 +9,6 @@
 use tokio::{net::UdpSocket, sync::watch};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use wisteriaglade_control::{Command, Grant, Target};
-use wisteriaglade_once::holder::Holder;
 use wisteriaglade_types::{Hash, Index, Name, Node};
 use wisteriaglade_wire::Key;
 
@@ -21,7 +20,9 @@
     message::{Message, Proposed},
     metrics::Metrics,
     pool::Pool,
-    read, replica,
+    read,
+    records::Records,
+    replica,
     seen::Seen,
     settings::Settings,
     target,
@@ -45,8 +46,7 @@
     pub(crate) announced: watch::Sender<Option<Announced>>,
     pub(crate) admission: Arc<Admission>,
     pub(crate) seen: Seen,
-    /// Records that this node holds for the owners of shards.
-    pub(crate) holder: Mutex<Holder>,
+    pub(crate) records: Records,
     pub(crate) pool: Pool,
     pub(crate) client: target::Client,
     pub(crate) udp: UdpSocket,
@@ -145,7 +145,7 @@
         metrics
             .pending
             .set(signed(self.admission.pending() as u64));
-        metrics.records.set(signed(lock(&self.holder).used() as u64));
+        metrics.records.set(signed(self.records.used() as u64));
     }
 
     /// The ownership of a key.
--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -17,7 +17,6 @@
 use tracing::info;
 use wisteriaglade_consensus as consensus;
 use wisteriaglade_control::{self as control, State, planner};
-use wisteriaglade_once::holder::{self, Holder};
 use wisteriaglade_router as router;
 use wisteriaglade_types::Index;
 use wisteriaglade_wire::Key;
@@ -33,6 +32,7 @@
     metrics::Metrics,
     peer,
     pool::Pool,
+    records::{self, Records},
     replica, session,
     settings::{self, Policy, Settings},
     subscription, target,
@@ -183,6 +183,7 @@
         tokio::spawn(session::run(Arc::clone(context)));
         tokio::spawn(session::renew(Arc::clone(context)));
         tokio::spawn(load::report(Arc::clone(context)));
+        tokio::spawn(records::tick(Arc::clone(context)));
         let (admission, shutdown) = (Arc::clone(&context.admission), context.shutdown.clone());
         tokio::spawn(async move { admission.tick(shutdown).await });
         context
@@ -285,10 +286,7 @@
         queue: limits.queue,
         ..router::Config::default()
     };
-    let records = holder::Config {
-        memory: usize::try_from(limits.records.as_u64()).unwrap_or(usize::MAX),
-        ..holder::Config::default()
-    };
+    let records = Records::new(settings.holder());
     Context {
         view: RwLock::new(View::new(State::new(state(&settings)))),
         applied: watch::channel(Index::default()).0,
@@ -301,7 +299,7 @@
         announced: watch::channel(None).0,
         admission: Arc::new(Admission::new(clock, admission)),
         seen: crate::seen::Seen::default(),
-        holder: Mutex::new(Holder::new(records)),
+        records,
         pool: Pool::new(key.clone(), timing.connect),
         client: target::Client::new(timing.connect, CONNECTIONS),
         udp,
--- a/wisteriaglade-node/src/header.rs
+++ b/wisteriaglade-node/src/header.rs
@@ -8,6 +8,8 @@
 pub(crate) const OWNER: HeaderName = HeaderName::from_static("wg-owner");
 /// The fencing token.
 pub(crate) const EPOCH: HeaderName = HeaderName::from_static("wg-epoch");
+/// Marks a recorded response that is sent again.
+pub(crate) const REPLAYED: HeaderName = HeaderName::from_static("wg-replayed");
 /// The shard of the key.
 pub(crate) const SHARD: HeaderName = HeaderName::from_static("wg-shard");
 /// The pool of the rule.
--- a/wisteriaglade-node/src/ingress.rs
+++ b/wisteriaglade-node/src/ingress.rs
@@ -223,14 +223,13 @@
     let kept = matches!(ingress.payload, Payload::Kept(_));
     let safe = match refusal.outcome {
         Outcome::NotRun => refusal.reason.transient(),
-        // The rule allows a repetition, or the records of at-most-once
-        // requests recognise it.
+        // Either the rule allows a repetition, or the records of at-most-once
+        // requests recognise it: an owner that ran the request answers with
+        // the recorded response, or with another reason.
         Outcome::Unknown => refusal.reason == Reason::ConnectionLost,
         Outcome::Done => false,
     };
-    let repeatable =
-        refusal.outcome == Outcome::NotRun || ingress.rule.execution == Execution::Repeat;
-    time && kept && safe && repeatable
+    time && kept && safe
 }
 
 /// The node that owns the key, after a wait when there is none.
--- a/wisteriaglade-node/src/refusal.rs
+++ b/wisteriaglade-node/src/refusal.rs
@@ -40,6 +40,8 @@
     RecordsUnavailable,
     /// The connection broke or fell silent after the request was dispatched.
     ConnectionLost,
+    /// The request was started and its outcome was not recorded.
+    OutcomeUnknown,
     /// The request ran before and its response was too large to record.
     ResponseNotRecorded,
     /// The process is shutting down.
@@ -64,6 +66,7 @@
             Self::TargetUnavailable => "target-unavailable",
             Self::RecordsUnavailable => "records-unavailable",
             Self::ConnectionLost => "connection-lost",
+            Self::OutcomeUnknown => "outcome-unknown",
             Self::ResponseNotRecorded => "response-not-recorded",
             Self::ShuttingDown => "shutting-down",
         }
@@ -77,7 +80,9 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Overloaded => StatusCode::TOO_MANY_REQUESTS,
             Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
-            Self::Unreachable | Self::ConnectionLost => StatusCode::BAD_GATEWAY,
+            Self::Unreachable | Self::ConnectionLost | Self::OutcomeUnknown => {
+                StatusCode::BAD_GATEWAY
+            }
             Self::ResponseNotRecorded => StatusCode::CONFLICT,
             Self::NoOwner
             | Self::Stale
--- a/wisteriaglade-node/src/session.rs
+++ b/wisteriaglade-node/src/session.rs
@@ -13,7 +13,7 @@
     context::{Announced, Context},
     lock,
     message::Datagram,
-    read,
+    read, records,
 };
 
 /// The patience for one proposal of the session.
@@ -38,6 +38,7 @@
         warn!(event = "fenced", node = node.get());
         context.node.send_replace(None);
         lock(&context.lease).clear();
+        context.records.clear(context.settings.holder());
     }
 }
 
@@ -58,13 +59,14 @@
 }
 
 /// Returns when the node has been fenced or removed.
-async fn maintain(context: &Context, node: Node) {
+async fn maintain(context: &Arc<Context>, node: Node) {
     let mut changes = context.applied.subscribe();
     let mut announced = context.announced.subscribe();
     loop {
         if gone(context, node) {
             return;
         }
+        records::follow(context, node);
         announce(context, node).await;
         hand_over(context, node).await;
         tokio::select! {
--- a/wisteriaglade-node/src/settings.rs
+++ b/wisteriaglade-node/src/settings.rs
@@ -160,6 +160,14 @@
         }
     }
 
+    /// How this process holds records for others.
+    pub(crate) fn holder(&self) -> wisteriaglade_once::holder::Config {
+        wisteriaglade_once::holder::Config {
+            memory: usize::try_from(self.limits.records.as_u64()).unwrap_or(usize::MAX),
+            ..wisteriaglade_once::holder::Config::default()
+        }
+    }
+
     fn check(&self, file: &str) -> Result<()> {
         let fail = |field: &str, detail: &str| Err(Error::field(file, field, detail));
         if self.cluster_key.is_some() == self.cluster_key_file.is_some() {
--- a/wisteriaglade-node/src/work.rs
+++ b/wisteriaglade-node/src/work.rs
@@ -1,5 +1,7 @@
 //! Serves a request at the node that owns its key.
 
+mod once;
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -47,9 +49,33 @@
     let mut ticket = context.admission.enter(job.request, grant.shard);
     // The shard counts as busy now, so it cannot be released after this look.
     confirm(context, &grant)?;
-    admit(context, &job, &grant, &mut ticket).await?;
-    // The last look before the request goes to the target.
-    confirm(context, &grant)?;
+    if grant.rule.execution == Execution::Once {
+        // In a task of its own, so that a caller that goes away does not leave
+        // the outcome of its request unknown.
+        let task = once::serve(Arc::clone(context), job, grant, ticket);
+        let task = context.requests.spawn(task.in_current_span());
+        return task.await.unwrap_or_else(|_| {
+            Err(Refusal::unknown(
+                Reason::OutcomeUnknown,
+                "the task of the request failed",
+            ))
+        });
+    }
+    let deadline = context.clock.instant(job.deadline);
+    let response = run(context, job, &grant, &mut ticket).await?;
+    receive(context, response, &grant, ticket, deadline).await
+}
+
+/// Waits for admission, looks at the ownership a last time and sends the
+/// request to the target.
+async fn run(
+    context: &Arc<Context>,
+    job: Job,
+    grant: &Grant,
+    ticket: &mut Ticket,
+) -> Result<Response<Incoming>, Refusal> {
+    admit(context, &job, grant, ticket).await?;
+    confirm(context, grant)?;
     let span = info_span!(
         "target",
         request = %job.request,
@@ -171,14 +197,14 @@
 }
 
 async fn dispatch(
-    context: &Arc<Context>,
+    context: &Context,
     mut job: Job,
-    grant: Grant,
-    mut ticket: Ticket,
-) -> Result<Response<Body>, Refusal> {
+    grant: &Grant,
+    ticket: &mut Ticket,
+) -> Result<Response<Incoming>, Refusal> {
     let once = grant.rule.execution == Execution::Once;
     let deadline = context.clock.instant(job.deadline);
-    let request = outgoing(context, &mut job, &grant)?;
+    let request = outgoing(context, &mut job, grant)?;
     let cancel = job.cancel.clone();
     let abandon = ticket.cancel.clone();
     let send = context.client.send(grant.target, request);
@@ -213,7 +239,7 @@
         });
         return Err(refusal);
     }
-    receive(context, response, &grant, ticket, deadline).await
+    Ok(response)
 }
 
 /// The request as the target gets it.
@@ -270,10 +296,7 @@
     deadline: tokio::time::Instant,
 ) -> Result<Response<Body>, Refusal> {
     let (mut parts, body) = response.into_parts();
-    names::strip_hop(&mut parts.headers);
-    set(&mut parts.headers, names::OUTCOME, Outcome::Done);
-    set(&mut parts.headers, names::EPOCH, grant.epoch.get());
-    set(&mut parts.headers, names::OWNER, context.addresses.caller);
+    label(context, grant, &mut parts.headers);
     if body.size_hint().upper().is_some_and(|upper| upper <= WHOLE) {
         let whole = whole(body, deadline).await;
         ticket.finish(if whole.is_ok() {
@@ -290,6 +313,14 @@
     Ok(Response::from_parts(parts, Body::channel(receiver)))
 }
 
+/// Replaces the headers of the target's connection by those of the router.
+fn label(context: &Context, grant: &Grant, headers: &mut HeaderMap) {
+    names::strip_hop(headers);
+    set(headers, names::OUTCOME, Outcome::Done);
+    set(headers, names::EPOCH, grant.epoch.get());
+    set(headers, names::OWNER, context.addresses.caller);
+}
+
 async fn whole(body: Incoming, deadline: tokio::time::Instant) -> Result<Bytes, Refusal> {
     let limit = usize::try_from(WHOLE).unwrap_or(usize::MAX);
     let collect = Limited::new(body, limit).collect();
