Count suspensions as time, find hot keys and say when a node leaves

Instant stops while a host is suspended, so a lease seemed valid after shards had moved; the clock is now CLOCK_BOOTTIME.

--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -83,11 +83,16 @@
     let (caller, admin) = (cluster.hosts[0].caller, cluster.hosts[0].admin);
     println!("three nodes are up; data below {}\n", data.display());
     for host in &cluster.hosts {
-        println!("{}: callers {}, admin {}", host.name, host.caller, host.admin);
+        println!(
+            "{}: callers {}, admin {}",
+            host.name, host.caller, host.admin
+        );
     }
     println!("\nTry:\n");
     println!("curl -i http://{caller}/designs/lantern-17");
-    println!("curl -i -X POST -H 'idempotency-key: booking-1' -d strings=4 http://{caller}/bookings/market-5");
+    println!(
+        "curl -i -X POST -H 'idempotency-key: booking-1' -d strings=4 http://{caller}/bookings/market-5"
+    );
     println!("printf '%s' {TOKEN} > token.txt");
     println!("wisteriactl --node {admin} status");
     println!("wisteriactl --node {admin} explain GET /designs/lantern-17");
@@ -109,7 +114,9 @@
     if resend.body != booking.body {
         return Err("the resend got another answer than the booking".into());
     }
-    let read = client.send(third, "GET", "/designs/lantern-17", &[], "").await?;
+    let read = client
+        .send(third, "GET", "/designs/lantern-17", &[], "")
+        .await?;
     expect("catalogue read", &read, 200, "done")?;
     let version = cluster.apply("a2", CHANGED).await?;
     cluster.in_force(version, Duration::from_secs(5)).await?;
@@ -129,7 +136,12 @@
 }
 
 fn expect(name: &str, answer: &Answer, status: u16, outcome: &str) -> Result<(), Error> {
-    print!("{name}: {} {} {}", answer.status, answer.outcome(), answer.text());
+    print!(
+        "{name}: {} {} {}",
+        answer.status,
+        answer.outcome(),
+        answer.text()
+    );
     if answer.status.as_u16() == status && answer.outcome() == outcome {
         Ok(())
     } else {
--- a/examples/support/cluster.rs
+++ b/examples/support/cluster.rs
@@ -106,9 +106,14 @@
             let status = status.json();
             let known = status["pools"].as_array().map_or(0, Vec::len);
             let owned = status["pools"].as_array().is_some_and(|pools| {
-                pools.iter().all(|pool| pool["ownerless"] == 0 && pool["moving"] == 0)
+                pools
+                    .iter()
+                    .all(|pool| pool["ownerless"] == 0 && pool["moving"] == 0)
             });
-            if status["lease"] != true || status["current"] != true || known != pools.len() || !owned
+            if status["lease"] != true
+                || status["current"] != true
+                || known != pools.len()
+                || !owned
             {
                 return false;
             }
@@ -194,7 +199,10 @@
         );
     }
     let hash = blake3::hash(TOKEN.as_bytes()).to_hex();
-    let _ = writeln!(text, "operators:\n  - {{ name: sample, token_hash: '{hash}' }}");
+    let _ = writeln!(
+        text,
+        "operators:\n  - {{ name: sample, token_hash: '{hash}' }}"
+    );
     text.push_str(extra);
     text
 }
--- a/examples/support/target.rs
+++ b/examples/support/target.rs
@@ -137,10 +137,9 @@
 fn refusal(detail: &str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(detail.to_owned())));
     *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
-    response.headers_mut().insert(
-        "wg-outcome",
-        http::HeaderValue::from_static("not-run"),
-    );
+    response
+        .headers_mut()
+        .insert("wg-outcome", http::HeaderValue::from_static("not-run"));
     response
 }
 
--- a/wisteriaglade-node/src/admin.rs
+++ b/wisteriaglade-node/src/admin.rs
@@ -7,9 +7,7 @@
 
 use std::{fmt, sync::Arc};
 
-use dropshot::{
-    ApiDescription, ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder,
-};
+use dropshot::{ApiDescription, ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 
 use crate::context::Context;
 
--- a/wisteriaglade-node/src/admission.rs
+++ b/wisteriaglade-node/src/admission.rs
@@ -8,10 +8,12 @@
 
 use tokio::sync::{Notify, oneshot};
 use tokio_util::sync::CancellationToken;
-use wisteriaglade_router::{Arrival, Capacity, Class, Config, Effect, Event, Finish, Reason, Router};
+use wisteriaglade_router::{
+    Arrival, Capacity, Class, Config, Effect, Event, Finish, Reason, Router,
+};
 use wisteriaglade_types::{Request, Shard};
 
-use crate::{clock::Clock, lock};
+use crate::{clock::Clock, hot::Hot, lock};
 
 /// What the reducer decided for a request that asked for admission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,6 +31,8 @@
     inner: Mutex<Inner>,
     /// Wakes the timer when the reducer needs an earlier tick.
     changed: Notify,
+    /// Wakes the load report when the target stops responding.
+    suspected: Notify,
 }
 
 #[derive(Debug)]
@@ -40,6 +44,7 @@
     shards: HashMap<Shard, usize>,
     suspect: bool,
     warm: u32,
+    hot: Hot,
 }
 
 /// A request inside the admission queue or at the target.
@@ -68,8 +73,10 @@
                 shards: HashMap::new(),
                 suspect: false,
                 warm: 0,
+                hot: Hot::default(),
             }),
             changed: Notify::new(),
+            suspected: Notify::new(),
         }
     }
 
@@ -119,9 +126,14 @@
         read(&lock(&self.inner).router)
     }
 
-    /// The hottest keys with their requests per second.
-    pub(crate) fn hottest(&self) -> Vec<(u64, u32)> {
-        Vec::new()
+    /// The hottest keys since the last call, with their requests per second.
+    pub(crate) fn hottest(&self, interval: Duration) -> Vec<(u64, u32)> {
+        lock(&self.inner).hot.take(interval)
+    }
+
+    /// Returns when the target stops responding.
+    pub(crate) async fn suspected(&self) {
+        self.suspected.notified().await;
     }
 
     /// Ticks the reducer when it asks for it, until the process ends.
@@ -143,11 +155,15 @@
         let mut effects = Vec::new();
         let mut inner = lock(&self.inner);
         let before = inner.router.wake();
+        let trusted = !inner.suspect;
         inner.router.step(now, event, &mut effects);
         for effect in effects {
             inner.execute(effect);
         }
         let after = inner.router.wake();
+        if trusted && inner.suspect {
+            self.suspected.notify_one();
+        }
         drop(inner);
         if after.is_some_and(|after| before.is_none_or(|before| after < before)) {
             self.changed.notify_one();
@@ -194,6 +210,7 @@
             let mut inner = lock(&self.admission.inner);
             inner.waiting.insert(self.request, send);
             inner.running.insert(self.request, self.cancel.clone());
+            inner.hot.add(arrival.key);
         }
         // From here on a drop tells the reducer.
         self.dispatched = true;
--- a/wisteriaglade-node/src/caller.rs
+++ b/wisteriaglade-node/src/caller.rs
@@ -76,9 +76,7 @@
     let count = limits.header_count;
     let service = service_fn(move |request| {
         let context = Arc::clone(&context);
-        async move {
-            Ok::<_, Infallible>(ingress::handle(context, request, address.ip()).await)
-        }
+        async move { Ok::<_, Infallible>(ingress::handle(context, request, address.ip()).await) }
     });
     http1::Builder::new()
         .timer(TokioTimer::new())
--- a/wisteriaglade-node/src/clock.rs
+++ b/wisteriaglade-node/src/clock.rs
@@ -1,27 +1,39 @@
 //! The time that the reducers see.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// Monotonic time since the process started.
+use rustix::time::{ClockId, clock_gettime};
+
+/// Time since the process started, on a clock that never runs backwards and
+/// goes on while the host is suspended.
+///
+/// `Instant` stops during a suspension, so a lease would seem to be valid
+/// after it although its shards have moved.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Clock {
     pub(crate) fn new() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: boot() }
     }
 
     /// Time since the process started.
     pub(crate) fn now(&self) -> Duration {
-        self.start.elapsed()
+        boot().saturating_sub(self.start)
     }
 
     /// The moment of the tokio clock for a time of this clock.
     pub(crate) fn instant(&self, at: Duration) -> tokio::time::Instant {
-        tokio::time::Instant::from_std(self.start + at)
+        tokio::time::Instant::now() + at.saturating_sub(self.now())
     }
 }
+
+/// Time since the host started, with suspensions.
+fn boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
+    Duration::new(seconds, nanos)
+}
--- a/wisteriaglade-node/src/context.rs
+++ b/wisteriaglade-node/src/context.rs
@@ -110,13 +110,14 @@
 
     /// Starts to empty the target beside this process.
     pub(crate) fn drain_target(&self) {
-        self.announced.send_if_modified(|announced| match announced {
-            Some(announced) if !announced.draining => {
-                announced.draining = true;
-                true
-            }
-            _ => false,
-        });
+        self.announced
+            .send_if_modified(|announced| match announced {
+                Some(announced) if !announced.draining => {
+                    announced.draining = true;
+                    true
+                }
+                _ => false,
+            });
         self.admission.event(wisteriaglade_router::Event::Drain);
     }
 
@@ -142,9 +143,7 @@
         let signed = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
         metrics.applied.set(signed(view.applied.get()));
         metrics.rules.set(signed(view.state.rules().0.get()));
-        metrics
-            .pending
-            .set(signed(self.admission.pending() as u64));
+        metrics.pending.set(signed(self.admission.pending() as u64));
         metrics.records.set(signed(self.records.used() as u64));
     }
 
--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -63,7 +63,10 @@
             Self::Settings(error) => error.fmt(f),
             Self::Key(error) => write!(f, "field `cluster_key`: {error}"),
             Self::Bind(field, address, error) => {
-                write!(f, "field `listen.{field}`: cannot listen on {address}: {error}")
+                write!(
+                    f,
+                    "field `listen.{field}`: cannot listen on {address}: {error}"
+                )
             }
             Self::Admin(detail) | Self::Replica(detail) => f.write_str(detail),
         }
@@ -84,6 +87,9 @@
 /// The wait for shards to move away before a process ends.
 const HAND_OVER: Duration = Duration::from_secs(10);
 
+/// The patience for saying that this node leaves.
+const LEAVE: Duration = Duration::from_secs(2);
+
 /// A process that has bound its addresses and runs its tasks.
 #[derive(Debug)]
 pub struct Daemon {
@@ -121,8 +127,7 @@
         for (id, outbox) in outgoing {
             tokio::spawn(send_steps(Arc::clone(&context), id, outbox));
         }
-        let admin =
-            admin::start(&context).map_err(|error| Error::Admin(error.to_string()))?;
+        let admin = admin::start(&context).map_err(|error| Error::Admin(error.to_string()))?;
         let daemon = Self { context };
         daemon.spawn(callers, peers);
         let shutdown = daemon.context.shutdown.clone();
@@ -169,7 +174,15 @@
         let context = &self.context;
         info!(event = "draining");
         context.drain_target();
-        let _ = timeout(HAND_OVER, emptied(context)).await;
+        if timeout(HAND_OVER, emptied(context)).await.is_ok()
+            && let Some(node) = context.node()
+        {
+            // Without this the leader would wait for the lease of a node that
+            // has nothing left to lose.
+            context
+                .propose(control::Command::Leave { node }, LEAVE)
+                .await;
+        }
         context.draining.cancel();
         context.requests.close();
         let _ = timeout(context.settings.timing.shutdown, context.requests.wait()).await;
@@ -238,7 +251,11 @@
     };
     let mut outbox = HashMap::new();
     let mut outgoing = Vec::new();
-    for other in settings.replicas.iter().filter(|other| other.id != local.id) {
+    for other in settings
+        .replicas
+        .iter()
+        .filter(|other| other.id != local.id)
+    {
         let (sender, receiver) = mpsc::channel(OUTBOX);
         outbox.insert(other.id, sender);
         outgoing.push((other.id, receiver));
--- a/wisteriaglade-node/src/forward.rs
+++ b/wisteriaglade-node/src/forward.rs
@@ -235,7 +235,11 @@
     silence: Duration,
 ) -> Option<Reader<TcpStream>> {
     loop {
-        match timeout(silence, reader.recv::<Message>()).await.ok()?.ok()? {
+        match timeout(silence, reader.recv::<Message>())
+            .await
+            .ok()?
+            .ok()?
+        {
             Message::Chunk(data) => pieces.send(Piece::Data(data)).await.ok()?,
             Message::End => {
                 pieces.send(Piece::End).await.ok()?;
--- a/wisteriaglade-node/src/ingress.rs
+++ b/wisteriaglade-node/src/ingress.rs
@@ -13,8 +13,7 @@
 use crate::{
     body::Body,
     context::Context,
-    forward,
-    header as names,
+    forward, header as names,
     job::Job,
     payload::Payload,
     read,
@@ -67,9 +66,7 @@
             response
         }
         Err((member, refusal)) => {
-            context
-                .metrics
-                .answered(&member, refusal.outcome, elapsed);
+            context.metrics.answered(&member, refusal.outcome, elapsed);
             refusal.respond()
         }
     }
--- a/wisteriaglade-node/src/lib.rs
+++ b/wisteriaglade-node/src/lib.rs
@@ -40,6 +40,7 @@
 mod datagrams;
 mod forward;
 mod header;
+mod hot;
 mod ingress;
 mod job;
 mod lease;
--- a/wisteriaglade-node/src/load.rs
+++ b/wisteriaglade-node/src/load.rs
@@ -43,6 +43,7 @@
         tokio::select! {
             () = context.shutdown.cancelled() => return,
             _ = ticks.tick() => {}
+            () = context.admission.suspected() => {}
         }
         context.pool.prune();
         let totals = Totals::read(&context);
@@ -94,7 +95,7 @@
             rate: served,
             latency: busy / served.max(1),
             suspect: context.admission.suspect(),
-            hot: context.admission.hottest(),
+            hot: context.admission.hottest(INTERVAL),
         }
     }
 }
--- a/wisteriaglade-node/src/message.rs
+++ b/wisteriaglade-node/src/message.rs
@@ -23,7 +23,11 @@
     /// Committed entries without a gap.
     Entries(Vec<consensus::Entry>),
     /// A piece of a snapshot of the control state.
-    Snapshot { index: Index, last: bool, piece: Bytes },
+    Snapshot {
+        index: Index,
+        last: bool,
+        piece: Bytes,
+    },
     /// Asks the control leader for a change.
     Propose(Box<control::Command>),
     /// The answer to `Propose`.
@@ -51,7 +55,10 @@
     /// The answer to `Query`.
     Known(Known),
     /// A message to a record holder.
-    Record { to: Node, message: Box<holder::Message> },
+    Record {
+        to: Node,
+        message: Box<holder::Message>,
+    },
     /// The answer to `Record`; none when the node has another id by now.
     Recorded(Option<Box<holder::Reply>>),
     /// An operator asserts that the host of a node is off.
--- a/wisteriaglade-node/src/metrics.rs
+++ b/wisteriaglade-node/src/metrics.rs
@@ -82,12 +82,28 @@
             metrics.refusals.clone(),
         );
         for (name, help, gauge) in [
-            ("pending", "Requests that wait or run at the target", &metrics.pending),
+            (
+                "pending",
+                "Requests that wait or run at the target",
+                &metrics.pending,
+            ),
             ("shards", "Shards that this node owns", &metrics.shards),
             ("lease", "Whether this node holds its lease", &metrics.lease),
-            ("applied_index", "The last applied index of the control log", &metrics.applied),
-            ("rules_version", "The version of the rules in force", &metrics.rules),
-            ("record_bytes", "Memory for records held for other nodes", &metrics.records),
+            (
+                "applied_index",
+                "The last applied index of the control log",
+                &metrics.applied,
+            ),
+            (
+                "rules_version",
+                "The version of the rules in force",
+                &metrics.rules,
+            ),
+            (
+                "record_bytes",
+                "Memory for records held for other nodes",
+                &metrics.records,
+            ),
         ] {
             registry.register(name, help, gauge.clone());
         }
--- a/wisteriaglade-node/src/payload.rs
+++ b/wisteriaglade-node/src/payload.rs
@@ -45,7 +45,10 @@
         let mut bytes = BytesMut::new();
         while let Some(frame) = incoming.frame().await {
             let frame = frame.map_err(|error| {
-                Refusal::not_run(Reason::BadRequest, format!("the body is incomplete: {error}"))
+                Refusal::not_run(
+                    Reason::BadRequest,
+                    format!("the body is incomplete: {error}"),
+                )
             })?;
             let Ok(data) = frame.into_data() else {
                 continue;
--- a/wisteriaglade-node/src/peer.rs
+++ b/wisteriaglade-node/src/peer.rs
@@ -122,9 +122,7 @@
             }
             Message::Record { to, message } => {
                 let reply = records::handle(context, to, *message);
-                writer
-                    .send(&Message::Recorded(reply.map(Box::new)))
-                    .await?;
+                writer.send(&Message::Recorded(reply.map(Box::new))).await?;
             }
             Message::Propose(command) => {
                 let outcome = match &context.replica {
--- a/wisteriaglade-node/src/peer/exchange.rs
+++ b/wisteriaglade-node/src/peer/exchange.rs
@@ -151,9 +151,7 @@
     }
 
     async fn refuse(&mut self, refusal: Refusal) -> Result<()> {
-        self.writer
-            .send(&Message::Refused(Box::new(refusal)))
-            .await
+        self.writer.send(&Message::Refused(Box::new(refusal))).await
     }
 
     async fn respond(&mut self, response: Response<Body>) -> Result<()> {
--- a/wisteriaglade-node/src/records.rs
+++ b/wisteriaglade-node/src/records.rs
@@ -20,8 +20,8 @@
 };
 use wisteriaglade_types::{Node, Request};
 
-pub(crate) use self::ticket::Ticket;
 use self::owned::Owned;
+pub(crate) use self::ticket::Ticket;
 use crate::{context::Context, lock, message::Message, pool, read};
 
 /// The interval of the owner's timers.
@@ -178,7 +178,14 @@
 async fn call(context: &Arc<Context>, to: Node, call: u64, message: HolderMessage) {
     if context.node() == Some(to) {
         if let Some(reply) = handle(context, to, message) {
-            step(context, Event::Reply { from: to, call, reply });
+            step(
+                context,
+                Event::Reply {
+                    from: to,
+                    call,
+                    reply,
+                },
+            );
         }
         return;
     }
@@ -197,7 +204,14 @@
     match context.pool.call(peer, &message, CALL).await {
         Ok(Message::Recorded(Some(reply))) => {
             let reply = *reply;
-            step(context, Event::Reply { from: to, call, reply });
+            step(
+                context,
+                Event::Reply {
+                    from: to,
+                    call,
+                    reply,
+                },
+            );
         }
         Ok(_) => step(context, Event::Lost { node: to }),
         Err(pool::Error::Connect(error)) => {
--- a/wisteriaglade-node/src/session.rs
+++ b/wisteriaglade-node/src/session.rs
@@ -138,10 +138,7 @@
     if idle.is_empty() {
         return;
     }
-    let command = Command::Release {
-        node,
-        shards: idle,
-    };
+    let command = Command::Release { node, shards: idle };
     context.propose(command, PATIENCE).await;
 }
 
--- a/wisteriaglade-node/src/settings.rs
+++ b/wisteriaglade-node/src/settings.rs
@@ -140,8 +140,9 @@
     /// Names the file, the field and what is allowed.
     pub fn parse(file: &str, text: &str) -> Result<Self> {
         let reader = serde_yaml_ng::Deserializer::from_str(text);
-        let settings: Self = serde_path_to_error::deserialize(reader)
-            .map_err(|error| Error::field(file, &error.path().to_string(), &error.inner().to_string()))?;
+        let settings: Self = serde_path_to_error::deserialize(reader).map_err(|error| {
+            Error::field(file, &error.path().to_string(), &error.inner().to_string())
+        })?;
         settings.check(file)?;
         Ok(settings)
     }
@@ -171,7 +172,10 @@
     fn check(&self, file: &str) -> Result<()> {
         let fail = |field: &str, detail: &str| Err(Error::field(file, field, detail));
         if self.cluster_key.is_some() == self.cluster_key_file.is_some() {
-            return fail("cluster_key", "give exactly one of cluster_key and cluster_key_file");
+            return fail(
+                "cluster_key",
+                "give exactly one of cluster_key and cluster_key_file",
+            );
         }
         if !matches!(self.replicas.len(), 1 | 3 | 5 | 7) {
             return fail("replicas", "expected 1, 3, 5 or 7 control replicas");
--- a/wisteriaglade-node/src/settings/timing.rs
+++ b/wisteriaglade-node/src/settings/timing.rs
@@ -95,7 +95,10 @@
             ));
         }
         if self.staleness <= self.renew * 2 {
-            return Err(("staleness", "expected more than twice timing.renew".to_owned()));
+            return Err((
+                "staleness",
+                "expected more than twice timing.renew".to_owned(),
+            ));
         }
         Ok(())
     }
--- a/wisteriaglade-node/src/telemetry.rs
+++ b/wisteriaglade-node/src/telemetry.rs
@@ -9,7 +9,11 @@
 use tracing_subscriber::{
     EnvFilter, Layer,
     field::Visit,
-    fmt::{FmtContext, FormatEvent, FormatFields, FormattedFields, format::Writer, time::{FormatTime, SystemTime}},
+    fmt::{
+        FmtContext, FormatEvent, FormatFields, FormattedFields,
+        format::Writer,
+        time::{FormatTime, SystemTime},
+    },
     layer::SubscriberExt,
     registry::LookupSpan,
     util::SubscriberInitExt,
@@ -62,8 +66,8 @@
 ///
 /// When the filter does not parse or the exporter cannot be built.
 pub fn start(settings: &Settings) -> Result<Guard, Error> {
-    let filter = EnvFilter::try_new(&settings.log)
-        .map_err(|error| Error::Filter(error.to_string()))?;
+    let filter =
+        EnvFilter::try_new(&settings.log).map_err(|error| Error::Filter(error.to_string()))?;
     let logs = tracing_subscriber::fmt::layer()
         .event_format(Line)
         .with_writer(std::io::stderr)
--- a/wisteriaglade-node/src/work.rs
+++ b/wisteriaglade-node/src/work.rs
@@ -185,10 +185,9 @@
         }
         Admission::Departed => Refusal::not_run(Reason::Deadline, "the caller disconnected"),
         Admission::Draining => Refusal::not_run(Reason::Moved, "the target is leaving"),
-        Admission::Absent | Admission::Unresponsive => Refusal::not_run(
-            Reason::TargetUnavailable,
-            "the target does not respond",
-        ),
+        Admission::Absent | Admission::Unresponsive => {
+            Refusal::not_run(Reason::TargetUnavailable, "the target does not respond")
+        }
     };
     match after {
         Some(after) => refusal.after(after),
@@ -227,9 +226,7 @@
     let response = outcome.map_err(|error| {
         ticket.finish(Finish::Failed);
         match error {
-            target::Error::Connect(detail) => {
-                Refusal::not_run(Reason::TargetUnavailable, detail)
-            }
+            target::Error::Connect(detail) => Refusal::not_run(Reason::TargetUnavailable, detail),
             target::Error::Broken(detail) => Refusal::unknown(Reason::ConnectionLost, detail),
         }
     })?;
@@ -243,14 +240,13 @@
 }
 
 /// The request as the target gets it.
-fn outgoing(
-    context: &Context,
-    job: &mut Job,
-    grant: &Grant,
-) -> Result<HttpRequest<Body>, Refusal> {
+fn outgoing(context: &Context, job: &mut Job, grant: &Grant) -> Result<HttpRequest<Body>, Refusal> {
     let remaining = job.deadline.saturating_sub(context.clock.now());
     if remaining.is_zero() {
-        return Err(Refusal::not_run(Reason::Deadline, "the deadline has passed"));
+        return Err(Refusal::not_run(
+            Reason::Deadline,
+            "the deadline has passed",
+        ));
     }
     let mut request = HttpRequest::new(std::mem::replace(&mut job.body, Body::empty()));
     *request.method_mut() = job.method.clone();
@@ -326,10 +322,7 @@
     let collect = Limited::new(body, limit).collect();
     match tokio::time::timeout_at(deadline, collect).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) => Err(Refusal::unknown(
-            Reason::ConnectionLost,
-            error.to_string(),
-        )),
+        Ok(Err(error)) => Err(Refusal::unknown(Reason::ConnectionLost, error.to_string())),
         Err(_) => Err(Refusal::unknown(
             Reason::Deadline,
             "the deadline passed during the response",
--- a/wisteriaglade-node/src/work/once.rs
+++ b/wisteriaglade-node/src/work/once.rs
@@ -164,8 +164,7 @@
         ));
     };
     let mut response = Response::new(Body::full(Bytes::copy_from_slice(&body)));
-    *response.status_mut() =
-        StatusCode::from_u16(answer.status).map_err(|_| unknown())?;
+    *response.status_mut() = StatusCode::from_u16(answer.status).map_err(|_| unknown())?;
     let headers = response.headers_mut();
     for (name, value) in answer.headers {
         let name = HeaderName::from_bytes(name.as_bytes());
@@ -180,9 +179,7 @@
 
 fn refused(reason: RecordReason) -> Refusal {
     match reason {
-        RecordReason::NotOwner => {
-            Refusal::not_run(Reason::Moved, "this node does not own the key")
-        }
+        RecordReason::NotOwner => Refusal::not_run(Reason::Moved, "this node does not own the key"),
         RecordReason::Unavailable => Refusal::not_run(
             Reason::RecordsUnavailable,
             "too few record holders can be reached",
