Add the operators' command line

Operators need to check, compare and apply rules, and to look at the system, without writing HTTP requests by hand. The library holds everything but main(), so that it is tested without starting a process.

A change keeps one id over all its sends. A refusal by one node after a lost answer of another says nothing about the change that was sent first, so the outcome is reported as unknown, with the options that ask again safely.

"health" does not go on to the next node after a server error, because a healthy node would then hide an unhealthy one. The token is sent on changes only. Control characters in answers are escaped in tables.

--- /dev/null
+++ b/wisteriaglade-ctl/src/call.rs
@@ -0,0 +1,123 @@
+//! The requests of the operator API.
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+
+/// One request to a node's admin address.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    /// The path with its query.
+    pub(crate) path: String,
+    pub(crate) body: Option<Bytes>,
+    /// Whether the request changes something and so carries the token.
+    pub(crate) change: bool,
+    /// Whether a server error is the answer, so that no other node is asked.
+    pub(crate) single: bool,
+}
+
+impl Call {
+    pub(crate) fn get(path: impl Into<String>) -> Self {
+        Self {
+            method: Method::GET,
+            path: path.into(),
+            body: None,
+            change: false,
+            single: false,
+        }
+    }
+
+    /// The node's own health. The answer of another node would be about
+    /// another node.
+    pub(crate) fn health() -> Self {
+        Self {
+            single: true,
+            ..Self::get("/v1/health")
+        }
+    }
+
+    pub(crate) fn explain(method: &str, path: &str) -> Self {
+        let (method, path) = (encode(method), encode(path));
+        Self::get(format!("/v1/explain?method={method}&path={path}"))
+    }
+
+    pub(crate) fn apply(id: &str, base: u64, text: &str) -> Self {
+        let body = json!({ "id": id, "base": base, "text": text });
+        Self {
+            method: Method::PUT,
+            body: Some(body.to_string().into()),
+            change: true,
+            ..Self::get("/v1/rules")
+        }
+    }
+
+    pub(crate) fn node(node: u64, action: &str) -> Self {
+        Self {
+            method: Method::POST,
+            change: true,
+            ..Self::get(format!("/v1/nodes/{node}/{action}"))
+        }
+    }
+}
+
+/// A node's answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    /// The body, as a string when it is not JSON, and null when it is empty.
+    pub(crate) body: Value,
+    /// What happened at the nodes that were asked before, when one of them may
+    /// have received the request.
+    pub(crate) lost: Vec<String>,
+}
+
+impl Answer {
+    pub(crate) fn new(status: StatusCode, body: &[u8]) -> Self {
+        let body = if body.is_empty() {
+            Value::Null
+        } else {
+            serde_json::from_slice(body)
+                .unwrap_or_else(|_| String::from_utf8_lossy(body).into_owned().into())
+        };
+        Self {
+            status,
+            body,
+            lost: Vec::new(),
+        }
+    }
+
+    /// A version number of the body.
+    pub(crate) fn version(&self) -> Option<u64> {
+        self.body.get("version")?.as_u64()
+    }
+
+    /// The body's explanation of a refusal, with the status.
+    pub(crate) fn explanation(&self) -> String {
+        let text = ["message", "detail", "reason"]
+            .iter()
+            .find_map(|name| self.body.get(name)?.as_str())
+            .or_else(|| self.body.as_str());
+        match text {
+            Some(text) => format!("{}: {}", self.status, text.trim_end()),
+            None if self.body.is_null() => self.status.to_string(),
+            None => format!("{}: {}", self.status, self.body),
+        }
+    }
+}
+
+/// Percent-encodes everything but the unreserved characters of RFC 3986.
+fn encode(text: &str) -> String {
+    use std::fmt::Write;
+
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            encoded.push(byte.into());
+        } else {
+            // Writing to a string cannot fail.
+            let _ = write!(encoded, "%{byte:02X}");
+        }
+    }
+    encoded
+}
--- /dev/null
+++ b/wisteriaglade-ctl/src/client.rs
@@ -0,0 +1,170 @@
+//! The HTTP client.
+
+use std::{fmt::Display, time::Duration};
+
+use bytes::Bytes;
+use http::{
+    HeaderValue, Request,
+    header::{AUTHORIZATION, CONTENT_TYPE, HOST},
+};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout_at},
+};
+
+use crate::{
+    args::Options,
+    call::{Answer, Call},
+    error::{Error, Result},
+};
+
+/// The largest body that is read. The status of 3,600 nodes is far smaller.
+const MAX_BODY: usize = 64 * 1024 * 1024;
+
+/// Sends requests to the first node that answers.
+#[derive(Debug)]
+pub(crate) struct Client {
+    nodes: Vec<String>,
+    token: Option<HeaderValue>,
+    timeout: Duration,
+}
+
+/// No node gave a usable answer.
+#[derive(Debug)]
+pub(crate) struct Silence {
+    /// Whether a node may have received the request.
+    pub(crate) sent: bool,
+    /// What happened at each node.
+    pub(crate) reasons: Vec<String>,
+}
+
+/// Why one node gave no answer.
+#[derive(Debug)]
+enum Fault {
+    /// The connection failed before the request was sent.
+    NotSent(String),
+    /// The request was sent and its answer was lost.
+    Lost(String),
+}
+
+impl Client {
+    pub(crate) fn new(options: &Options) -> Result<Self> {
+        Ok(Self {
+            nodes: options.nodes.clone(),
+            token: token(options)?,
+            timeout: options.timeout,
+        })
+    }
+
+    /// The time limit for one node.
+    pub(crate) const fn timeout(&self) -> Duration {
+        self.timeout
+    }
+
+    /// Asks the nodes in turn. Another one is asked when a node does not answer
+    /// or answers with a server error, which every request of the operator API
+    /// allows because repeating it has no further effect.
+    pub(crate) async fn call(&self, call: &Call) -> std::result::Result<Answer, Silence> {
+        let mut silence = Silence {
+            sent: false,
+            reasons: Vec::new(),
+        };
+        for node in &self.nodes {
+            let reason = match self.attempt(node, call).await {
+                Ok(mut answer) if call.single || !answer.status.is_server_error() => {
+                    if silence.sent {
+                        answer.lost = silence.reasons;
+                    }
+                    return Ok(answer);
+                }
+                Ok(answer) => {
+                    silence.sent = true;
+                    answer.explanation()
+                }
+                Err(Fault::Lost(reason)) => {
+                    silence.sent = true;
+                    reason
+                }
+                Err(Fault::NotSent(reason)) => reason,
+            };
+            silence.reasons.push(format!("{node}: {reason}"));
+        }
+        Err(silence)
+    }
+
+    async fn attempt(&self, node: &str, call: &Call) -> std::result::Result<Answer, Fault> {
+        let deadline = Instant::now() + self.timeout;
+        let request = self.request(node, call).map_err(not_sent)?;
+        let stream = timeout_at(deadline, TcpStream::connect(node))
+            .await
+            .map_err(|_| Fault::NotSent(self.late("connection")))?
+            .map_err(not_sent)?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(not_sent)?;
+        // The task ends with the connection, at the latest with the runtime.
+        tokio::spawn(connection);
+        let exchange = async {
+            let response = sender.send_request(request).await.map_err(lost)?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), MAX_BODY)
+                .collect()
+                .await
+                .map_err(lost)?;
+            Ok(Answer::new(status, &body.to_bytes()))
+        };
+        timeout_at(deadline, exchange)
+            .await
+            .map_err(|_| Fault::Lost(self.late("answer")))?
+    }
+
+    fn request(&self, node: &str, call: &Call) -> http::Result<Request<Full<Bytes>>> {
+        let mut request = Request::builder()
+            .method(call.method.clone())
+            .uri(&call.path)
+            .header(HOST, node);
+        if let Some(token) = self.token.as_ref().filter(|_| call.change) {
+            request = request.header(AUTHORIZATION, token);
+        }
+        if call.body.is_some() {
+            request = request.header(CONTENT_TYPE, "application/json");
+        }
+        request.body(Full::new(call.body.clone().unwrap_or_default()))
+    }
+
+    fn late(&self, what: &str) -> String {
+        let timeout = humantime::format_duration(self.timeout);
+        format!("no {what} within {timeout}")
+    }
+}
+
+fn token(options: &Options) -> Result<Option<HeaderValue>> {
+    let Some(file) = &options.token_file else {
+        return Ok(None);
+    };
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| Error::failed(format!("{}: {error}", file.display())))?;
+    let text = text.trim();
+    let value = HeaderValue::try_from(format!("Bearer {text}"));
+    match value {
+        Ok(mut value) if !text.is_empty() => {
+            value.set_sensitive(true);
+            Ok(Some(value))
+        }
+        _ => Err(Error::failed(format!(
+            "{}: expected one line with a token",
+            file.display()
+        ))),
+    }
+}
+
+fn not_sent(error: impl Display) -> Fault {
+    Fault::NotSent(error.to_string())
+}
+
+fn lost(error: impl Display) -> Fault {
+    Fault::Lost(error.to_string())
+}
--- /dev/null
+++ b/wisteriaglade-ctl/src/error.rs
@@ -0,0 +1,88 @@
+//! Why a command did not do what was asked.
+
+use std::fmt;
+
+use serde_json::{Map, Value};
+
+use crate::Exit;
+
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// The arguments are wrong.
+    Usage,
+    /// The file or the request was refused. Nothing was changed.
+    Refused,
+    /// No usable answer. Nothing was changed by this command.
+    Failed,
+    /// The change was sent and may be in force.
+    Unknown,
+}
+
+impl Kind {
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Usage => "usage",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct Error {
+    kind: Kind,
+    message: String,
+    details: Map<String, Value>,
+}
+
+impl Error {
+    pub(crate) fn new(kind: Kind, message: impl Into<String>) -> Self {
+        Self {
+            kind,
+            message: message.into(),
+            details: Map::new(),
+        }
+    }
+
+    pub(crate) fn usage(message: impl Into<String>) -> Self {
+        Self::new(Kind::Usage, message)
+    }
+
+    pub(crate) fn refused(message: impl Into<String>) -> Self {
+        Self::new(Kind::Refused, message)
+    }
+
+    pub(crate) fn failed(message: impl Into<String>) -> Self {
+        Self::new(Kind::Failed, message)
+    }
+
+    /// Adds a field to the JSON form of the error.
+    pub(crate) fn with(mut self, name: &str, value: impl Into<Value>) -> Self {
+        self.details.insert(name.into(), value.into());
+        self
+    }
+
+    pub(crate) const fn kind(&self) -> Kind {
+        self.kind
+    }
+
+    pub(crate) const fn details(&self) -> &Map<String, Value> {
+        &self.details
+    }
+
+    pub(crate) const fn exit(&self) -> Exit {
+        match self.kind {
+            Kind::Usage => Exit::Usage,
+            Kind::Refused | Kind::Failed | Kind::Unknown => Exit::Refused,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
--- /dev/null
+++ b/wisteriaglade-ctl/src/table.rs
@@ -0,0 +1,164 @@
+//! Aligned tables of JSON values.
+
+use serde_json::{Map, Value};
+
+/// Columns that come first when a list has them; the others follow in
+/// alphabetical order.
+const LEADING: [&str; 9] = [
+    "version",
+    "member",
+    "pool",
+    "node",
+    "name",
+    "host",
+    "data_centre",
+    "shard",
+    "id",
+];
+
+/// Spaces between columns.
+const GAP: &str = "  ";
+
+/// Renders a value: a list of objects as one row for each object, an object as
+/// one row for each field with its lists of objects below, and anything else on
+/// one line.
+pub(crate) fn render(value: &Value) -> String {
+    match value {
+        Value::Null => String::new(),
+        Value::Array(items) if items.is_empty() => "none\n".into(),
+        Value::Array(items) if is_list(items) => list(items),
+        Value::Object(fields) => object(fields),
+        other => format!("{}\n", inline(other)),
+    }
+}
+
+/// Renders a value on one line. Control characters are escaped, because the
+/// value comes from a node and is printed on a terminal.
+pub(crate) fn inline(value: &Value) -> String {
+    let text = match value {
+        Value::Null => "-".into(),
+        Value::String(text) => text.clone(),
+        Value::Array(items) => items.iter().map(inline).collect::<Vec<_>>().join(","),
+        Value::Object(fields) => fields
+            .iter()
+            .map(|(name, value)| format!("{name}={}", inline(value)))
+            .collect::<Vec<_>>()
+            .join(" "),
+        Value::Bool(_) | Value::Number(_) => value.to_string(),
+    };
+    escape(&text)
+}
+
+/// Renders rows under a heading. Numbers are aligned to the right.
+pub(crate) fn rows(heading: &[&str], rows: &[Vec<Value>]) -> String {
+    let right: Vec<bool> = (0..heading.len())
+        .map(|column| rows.iter().all(|row| row[column].is_number()))
+        .collect();
+    let mut lines = vec![
+        heading
+            .iter()
+            .map(|name| escape(name).to_uppercase())
+            .collect(),
+    ];
+    lines.extend(rows.iter().map(|row| row.iter().map(inline).collect()));
+    align(&lines, &right)
+}
+
+fn is_list(items: &[Value]) -> bool {
+    !items.is_empty() && items.iter().all(Value::is_object)
+}
+
+fn list(items: &[Value]) -> String {
+    let mut columns: Vec<&str> = Vec::new();
+    for name in items
+        .iter()
+        .filter_map(Value::as_object)
+        .flat_map(Map::keys)
+    {
+        if !columns.contains(&name.as_str()) {
+            columns.push(name);
+        }
+    }
+    columns.sort_by_key(|name| {
+        let leading = LEADING.iter().position(|leading| leading == name);
+        (leading.unwrap_or(LEADING.len()), *name)
+    });
+    let cell = |item: &Value, name: &&str| item.get(*name).cloned().unwrap_or(Value::Null);
+    let cells: Vec<Vec<Value>> = items
+        .iter()
+        .map(|item| columns.iter().map(|name| cell(item, name)).collect())
+        .collect();
+    rows(&columns, &cells)
+}
+
+fn object(fields: &Map<String, Value>) -> String {
+    let mut lines = Vec::new();
+    let mut lists = Vec::new();
+    flatten("", fields, &mut lines, &mut lists);
+    let mut text = align(&lines, &[false, false]);
+    for (name, items) in lists {
+        if !text.is_empty() {
+            text.push('\n');
+        }
+        text += &escape(&name);
+        text += ":\n";
+        text += &list(items);
+    }
+    text
+}
+
+/// Collects the fields of nested objects under dotted names.
+fn flatten<'a>(
+    prefix: &str,
+    fields: &'a Map<String, Value>,
+    lines: &mut Vec<Vec<String>>,
+    lists: &mut Vec<(String, &'a [Value])>,
+) {
+    for (name, value) in fields {
+        let name = format!("{prefix}{name}");
+        match value {
+            Value::Object(nested) if !nested.is_empty() => {
+                flatten(&format!("{name}."), nested, lines, lists);
+            }
+            Value::Array(items) if is_list(items) => lists.push((name, items)),
+            _ => lines.push(vec![escape(&name), inline(value)]),
+        }
+    }
+}
+
+fn align(lines: &[Vec<String>], right: &[bool]) -> String {
+    let width = |column: usize| {
+        let cells = lines.iter().map(|line| line[column].chars().count());
+        cells.max().unwrap_or_default()
+    };
+    let widths: Vec<usize> = (0..right.len()).map(width).collect();
+    let mut text = String::new();
+    for line in lines {
+        let cells: Vec<String> = line
+            .iter()
+            .zip(widths.iter().zip(right))
+            .map(|(cell, (&width, &right))| {
+                if right {
+                    format!("{cell:>width$}")
+                } else {
+                    format!("{cell:<width$}")
+                }
+            })
+            .collect();
+        text.push_str(cells.join(GAP).trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+fn escape(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for character in text.chars() {
+        if character.is_control() {
+            escaped.extend(character.escape_default());
+        } else {
+            escaped.push(character);
+        }
+    }
+    escaped
+}
--- /dev/null
+++ b/wisteriaglade-ctl/tests/stand/mod.rs
@@ -0,0 +1,160 @@
+//! A stand-in for the operator API of one node.
+
+use std::{
+    collections::VecDeque,
+    convert::Infallible,
+    io,
+    sync::{Arc, Mutex, MutexGuard},
+    thread,
+};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+
+/// What goes wrong with one request.
+#[derive(Debug, Clone, Copy)]
+pub enum Fault {
+    /// The request is handled and its answer lost.
+    LoseAnswer,
+    /// The request is not handled and not answered.
+    Silent,
+    /// The request is refused with this status.
+    Refuse(u16),
+}
+
+#[derive(Debug, Default)]
+pub struct State {
+    pub version: u64,
+    pub text: String,
+    pub history: Vec<Value>,
+    pub faults: VecDeque<Fault>,
+    /// Method, path with query, and token of each request.
+    pub seen: Vec<(String, String, Option<String>)>,
+}
+
+#[derive(Debug)]
+pub struct Stand {
+    pub address: String,
+    state: Arc<Mutex<State>>,
+}
+
+impl Stand {
+    pub fn start(faults: &[Fault]) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let state = Arc::new(Mutex::new(State {
+            faults: faults.iter().copied().collect(),
+            ..State::default()
+        }));
+        let shared = Arc::clone(&state);
+        thread::spawn(move || {
+            tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .unwrap()
+                .block_on(serve(listener, shared))
+        });
+        Self { address, state }
+    }
+
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+}
+
+async fn serve(listener: std::net::TcpListener, state: Arc<Mutex<State>>) -> Infallible {
+    let listener = tokio::net::TcpListener::from_std(listener).unwrap();
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        let state = Arc::clone(&state);
+        let service = service_fn(move |request| answer(request, Arc::clone(&state)));
+        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    state: Arc<Mutex<State>>,
+) -> io::Result<Response<Full<Bytes>>> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let fault = {
+        let mut state = state.lock().unwrap();
+        let token = head
+            .headers
+            .get("authorization")
+            .map(|value| value.to_str().unwrap().into());
+        state
+            .seen
+            .push((head.method.to_string(), head.uri.to_string(), token));
+        state.faults.pop_front()
+    };
+    match fault {
+        Some(Fault::Silent) => std::future::pending().await,
+        Some(Fault::Refuse(status)) => Ok(respond(status, &json!({"message": "not now"}))),
+        fault => {
+            let (status, body) = handle(
+                &mut state.lock().unwrap(),
+                head.uri.path(),
+                &head.method,
+                &body,
+            );
+            match fault {
+                Some(Fault::LoseAnswer) => Err(io::Error::other("the answer is lost")),
+                _ => Ok(respond(status, &body)),
+            }
+        }
+    }
+}
+
+fn respond(status: u16, body: &Value) -> Response<Full<Bytes>> {
+    Response::builder()
+        .status(status)
+        .body(Full::new(body.to_string().into()))
+        .unwrap()
+}
+
+fn handle(state: &mut State, path: &str, method: &http::Method, body: &[u8]) -> (u16, Value) {
+    match (method.as_str(), path) {
+        ("GET", "/v1/rules") => (200, json!({"version": state.version, "text": state.text})),
+        ("PUT", "/v1/rules") => change(state, &serde_json::from_slice(body).unwrap()),
+        ("GET", "/v1/rules/history") => (200, json!(state.history)),
+        ("GET", "/v1/health") => (200, json!({"healthy": true})),
+        ("GET", "/v1/status") => (
+            200,
+            json!({"leader": 7, "lease": {"valid": true}, "pools": [
+                {"targets": 12, "pool": "lookup"},
+                {"targets": 4, "pool": "\u{1b}[2J", "slots": [6, 12]},
+            ]}),
+        ),
+        ("GET", "/v1/members") => (200, json!([])),
+        ("GET", "/v1/explain") => (200, json!({"pool": "lookup"})),
+        ("POST", "/v1/nodes/9/drain" | "/v1/nodes/9/lost") => (200, Value::Null),
+        _ => (404, json!({"message": "no such resource"})),
+    }
+}
+
+/// Compare-and-set on the version; a repeated id returns its first outcome.
+fn change(state: &mut State, change: &Value) -> (u16, Value) {
+    let repeated = state
+        .history
+        .iter()
+        .find(|entry| entry["id"] == change["id"]);
+    if let Some(entry) = repeated {
+        return (200, json!({"version": entry["version"]}));
+    }
+    if change["base"] != state.version {
+        let winner = state.history.last();
+        return (409, json!({"version": state.version, "winner": winner}));
+    }
+    state.version += 1;
+    state.text = change["text"].as_str().unwrap().into();
+    let entry = json!({"id": change["id"], "operator": "nia", "version": state.version});
+    state.history.push(entry);
+    (200, json!({"version": state.version}))
+}
