--- a/wisteriaglade-node/src/header.rs
+++ b/wisteriaglade-node/src/header.rs
@@ -22,8 +22,6 @@
 pub(crate) const CALLER: HeaderName = HeaderName::from_static("wg-caller");
 /// The key under which a request runs at most once.
 pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-/// The W3C trace context.
-pub(crate) const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
 
 /// Headers of one connection, which a proxy must not pass on (RFC 9110,
 /// section 7.6.1).
--- a/wisteriaglade-node/src/ingress.rs
+++ b/wisteriaglade-node/src/ingress.rs
@@ -18,7 +18,7 @@
     payload::Payload,
     read,
     refusal::{Reason, Refusal},
-    work,
+    trace, work,
 };
 
 /// The longest wait for a key to get an owner. It exceeds the time to replace
@@ -58,6 +58,7 @@
         method = %request.method(),
         path = request.uri().path()
     );
+    trace::adopt(&span, request.headers());
     let outcome = answer(&context, request, address).instrument(span).await;
     let elapsed = context.clock.now() - start;
     match outcome {
@@ -183,7 +184,7 @@
             )
             .after(PAUSE));
         };
-        let job = Job {
+        let mut job = Job {
             request: Request::new(rand::random()),
             method: ingress.method.clone(),
             uri: ingress.uri.clone(),
@@ -197,6 +198,7 @@
             work::serve(context, job).await
         } else {
             let span = info_span!("forward", request = %job.request, node = node.get());
+            trace::inject(&span, &mut job.headers);
             let forward = forward::forward(context, peer, node, job).instrument(span);
             let deadline = context.clock.instant(ingress.deadline);
             match tokio::time::timeout_at(deadline, forward).await {
--- a/wisteriaglade-node/src/lib.rs
+++ b/wisteriaglade-node/src/lib.rs
@@ -59,6 +59,7 @@
 mod subscription;
 mod target;
 pub mod telemetry;
+mod trace;
 mod view;
 mod work;
 
--- a/wisteriaglade-node/src/peer/exchange.rs
+++ b/wisteriaglade-node/src/peer/exchange.rs
@@ -23,7 +23,7 @@
     job::Job,
     message::{Forward, Head, Message},
     refusal::{Reason, Refusal},
-    work,
+    trace, work,
 };
 
 /// The interval of the signs of life while a request waits or runs.
@@ -81,6 +81,7 @@
             return Ok(false);
         };
         let span = info_span!("owner", request = %job.request);
+        trace::adopt(&span, &job.headers);
         let answer = self.work(job, pieces, &cancel, span).await?;
         match answer {
             Some(Ok(response)) => self.respond(response).await?,
--- a/wisteriaglade-node/src/work.rs
+++ b/wisteriaglade-node/src/work.rs
@@ -22,7 +22,7 @@
     job::Job,
     read,
     refusal::{Reason, Refusal},
-    target,
+    target, trace,
 };
 
 /// A response body up to this size is read whole before it is passed on, which
@@ -70,7 +70,7 @@
 /// request to the target.
 async fn run(
     context: &Arc<Context>,
-    job: Job,
+    mut job: Job,
     grant: &Grant,
     ticket: &mut Ticket,
 ) -> Result<Response<Incoming>, Refusal> {
@@ -82,6 +82,7 @@
         shard = grant.shard.get(),
         epoch = grant.epoch.get()
     );
+    trace::inject(&span, &mut job.headers);
     dispatch(context, job, grant, ticket).instrument(span).await
 }
 
