--- a/wisteriaglade-ctl/src/args.rs
+++ b/wisteriaglade-ctl/src/args.rs
@@ -7,6 +7,9 @@
 use crate::error::{Error, Result};
 
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(5);
+/// A longer time limit is taken for a mistake. It also keeps the sum of the
+/// current time and the limit within range.
+const MAX_TIMEOUT: Duration = Duration::from_hours(1);
 /// The longest change id that is accepted from an operator.
 const MAX_ID: usize = 64;
 
@@ -132,10 +135,10 @@
         None => DEFAULT_TIMEOUT,
         Some(text) => humantime::parse_duration(&text)
             .ok()
-            .filter(|timeout| !timeout.is_zero())
+            .filter(|timeout| !timeout.is_zero() && *timeout <= MAX_TIMEOUT)
             .ok_or_else(|| {
                 Error::usage(format!(
-                    "--timeout expects a time such as 5s, found {text:?}"
+                    "--timeout expects a time of at most 1h such as 5s, found {text:?}"
                 ))
             })?,
     };
--- a/wisteriaglade-ctl/tests/run.rs
+++ b/wisteriaglade-ctl/tests/run.rs
@@ -3,63 +3,14 @@
 
 mod stand;
 
-use std::{
-    fs,
-    path::PathBuf,
-    sync::atomic::{AtomicU32, Ordering},
-};
-
 use rstest::rstest;
-use serde_json::{Value, json};
-use stand::{Fault, Stand};
-use wisteriaglade_ctl::{Exit, run};
+use serde_json::json;
+use stand::{Fault, RULE, Stand, ask, file, wisteriactl};
+use wisteriaglade_ctl::Exit;
 
 /// An address at which nothing listens: the port is reserved and privileged.
 const CLOSED: &str = "127.0.0.1:1";
 
-const RULE: &str = "ribeira lookup GET /t/{key} repeat deadline=2s length=short weight=1 # Rui\n";
-
-struct Ran {
-    exit: Exit,
-    out: String,
-    err: String,
-}
-
-impl Ran {
-    fn says(&self, text: &str) {
-        assert!(self.err.contains(text), "{}", self.err);
-    }
-
-    fn json(&self) -> Value {
-        serde_json::from_str(&self.out).unwrap_or_else(|error| panic!("{error}: {}", self.out))
-    }
-}
-
-fn wisteriactl(line: &str) -> Ran {
-    let (mut out, mut err) = (Vec::new(), Vec::new());
-    let args = line.split_whitespace().map(String::from);
-    let exit = run(args, &mut out, &mut err);
-    Ran {
-        exit,
-        out: String::from_utf8(out).unwrap(),
-        err: String::from_utf8(err).unwrap(),
-    }
-}
-
-fn ask(nodes: &[&Stand], line: &str) -> Ran {
-    let nodes = nodes.iter().map(|node| format!("--node {} ", node.address));
-    wisteriactl(&(nodes.collect::<String>() + line))
-}
-
-/// Writes a file for one test, as tests run at the same time.
-fn file(text: &str) -> String {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let name = format!("file-{}", NEXT.fetch_add(1, Ordering::Relaxed));
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    fs::write(&path, text).unwrap();
-    path.display().to_string()
-}
-
 #[rstest]
 #[case::none("", "no command")]
 #[case::unknown("rules burn f", "unknown command")]
@@ -70,6 +21,7 @@
 #[case::no_port("--node localhost status", "HOST:PORT")]
 #[case::timeout("--timeout 5 --node a:1 status", "--timeout")]
 #[case::zero_timeout("--timeout 0s --node a:1 status", "--timeout")]
+#[case::endless("--timeout 500000000000y --node a:1 status", "--timeout")]
 #[case::node_name("--node a:1 node lost rack-3", "NODE expects a number")]
 #[case::base("--node a:1 rules apply f --base x", "--base expects a number")]
 #[case::id("--node a:1 rules apply f --id a/b", "--id expects")]
@@ -185,6 +137,7 @@
 /// that a first node may have accepted.
 #[rstest]
 #[case::answer_stays_lost(&[Fault::LoseAnswer; 5], &[Fault::Silent; 5], "100ms")]
+#[case::refused_later(&[Fault::LoseAnswer, Fault::Refuse(403)], &[Fault::Refuse(503)], "1s")]
 #[case::refused_elsewhere(&[Fault::LoseAnswer], &[Fault::Refuse(403)], "5s")]
 fn an_unknown_outcome_is_reported_as_unknown(
     #[case] first: &[Fault],
--- a/wisteriaglade-ctl/tests/stand/mod.rs
+++ b/wisteriaglade-ctl/tests/stand/mod.rs
@@ -1,10 +1,16 @@
-//! A stand-in for the operator API of one node.
+//! A stand-in for the operator API of one node, and helpers that run commands
+//! against it.
+
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use std::{
     collections::VecDeque,
-    convert::Infallible,
-    io,
-    sync::{Arc, Mutex, MutexGuard},
+    fs, io,
+    path::PathBuf,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
 };
 
@@ -14,12 +20,16 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
+use tokio::sync::Notify;
+use wisteriaglade_ctl::{Exit, run};
 
 /// What goes wrong with one request.
 #[derive(Debug, Clone, Copy)]
 pub enum Fault {
     /// The request is handled and its answer lost.
     LoseAnswer,
+    /// The request is handled, its answer lost, and the node ends.
+    Stop,
     /// The request is not handled and not answered.
     Silent,
     /// The request is refused with this status.
@@ -32,6 +42,7 @@
     pub text: String,
     pub history: Vec<Value>,
     pub faults: VecDeque<Fault>,
+    pub stop: Arc<Notify>,
     /// Method, path with query, and token of each request.
     pub seen: Vec<(String, String, Option<String>)>,
 }
@@ -57,7 +68,7 @@
                 .enable_all()
                 .build()
                 .unwrap()
-                .block_on(serve(listener, shared))
+                .block_on(serve(listener, shared));
         });
         Self { address, state }
     }
@@ -67,10 +78,14 @@
     }
 }
 
-async fn serve(listener: std::net::TcpListener, state: Arc<Mutex<State>>) -> Infallible {
+async fn serve(listener: std::net::TcpListener, state: Arc<Mutex<State>>) {
     let listener = tokio::net::TcpListener::from_std(listener).unwrap();
+    let stop = Arc::clone(&state.lock().unwrap().stop);
     loop {
-        let (stream, _) = listener.accept().await.unwrap();
+        let (stream, _) = tokio::select! {
+            accepted = listener.accept() => accepted.unwrap(),
+            () = stop.notified() => return,
+        };
         let state = Arc::clone(&state);
         let service = service_fn(move |request| answer(request, Arc::clone(&state)));
         tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
@@ -106,6 +121,10 @@
             );
             match fault {
                 Some(Fault::LoseAnswer) => Err(io::Error::other("the answer is lost")),
+                Some(Fault::Stop) => {
+                    state.lock().unwrap().stop.notify_one();
+                    Err(io::Error::other("the node ends"))
+                }
                 _ => Ok(respond(status, &body)),
             }
         }
@@ -158,3 +177,48 @@
     state.history.push(entry);
     (200, json!({"version": state.version}))
 }
+
+pub const RULE: &str =
+    "ribeira lookup GET /t/{key} repeat deadline=2s length=short weight=1 # Rui\n";
+
+pub struct Ran {
+    pub exit: Exit,
+    pub out: String,
+    pub err: String,
+}
+
+impl Ran {
+    pub fn says(&self, text: &str) {
+        assert!(self.err.contains(text), "{}", self.err);
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.out).unwrap_or_else(|error| panic!("{error}: {}", self.out))
+    }
+}
+
+pub fn wisteriactl(line: &str) -> Ran {
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let args = line.split_whitespace().map(String::from);
+    let exit = run(args, &mut out, &mut err);
+    Ran {
+        exit,
+        out: String::from_utf8(out).unwrap(),
+        err: String::from_utf8(err).unwrap(),
+    }
+}
+
+pub fn ask(nodes: &[&Stand], line: &str) -> Ran {
+    let nodes = nodes.iter().map(|node| format!("--node {} ", node.address));
+    wisteriactl(&(nodes.collect::<String>() + line))
+}
+
+/// Writes a file for one test, as tests run at the same time.
+pub fn file(text: &str) -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("{}-{number}", env!("CARGO_CRATE_NAME"));
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).unwrap();
+    path.display().to_string()
+}
