--- a/wisteriaglade-ctl/src/call.rs
+++ b/wisteriaglade-ctl/src/call.rs
@@ -4,6 +4,8 @@
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
 
+use crate::table::escape;
+
 /// One request to a node's admin address.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -92,14 +94,15 @@
         self.body.get("version")?.as_u64()
     }
 
-    /// The body's explanation of a refusal, with the status.
+    /// The status and the body's explanation of a refusal, without control
+    /// characters.
     pub(crate) fn explanation(&self) -> String {
         let text = ["message", "detail", "reason"]
             .iter()
             .find_map(|name| self.body.get(name)?.as_str())
             .or_else(|| self.body.as_str());
         match text {
-            Some(text) => format!("{}: {}", self.status, text.trim_end()),
+            Some(text) => format!("{}: {}", self.status, escape(text.trim_end())),
             None if self.body.is_null() => self.status.to_string(),
             None => format!("{}: {}", self.status, self.body),
         }
--- a/wisteriaglade-ctl/src/table.rs
+++ b/wisteriaglade-ctl/src/table.rs
@@ -32,8 +32,8 @@
     }
 }
 
-/// Renders a value on one line. Control characters are escaped, because the
-/// value comes from a node and is printed on a terminal.
+/// Renders a value on one line, without control characters, because the value
+/// comes from a node and is printed on a terminal.
 pub(crate) fn inline(value: &Value) -> String {
     let text = match value {
         Value::Null => "-".into(),
@@ -151,7 +151,8 @@
     text
 }
 
-fn escape(text: &str) -> String {
+/// Escapes control characters.
+pub(crate) fn escape(text: &str) -> String {
     let mut escaped = String::with_capacity(text.len());
     for character in text.chars() {
         if character.is_control() {
--- a/wisteriaglade-ctl/tests/run.rs
+++ b/wisteriaglade-ctl/tests/run.rs
@@ -244,5 +244,5 @@
     let ran = ask(&[&stand], "node drain 8");
 
     assert_eq!(ran.exit, Exit::Refused);
-    ran.says("404 Not Found: no such resource");
+    ran.says("404 Not Found: no such\\u{7} resource");
 }
--- a/wisteriaglade-ctl/tests/stand/mod.rs
+++ b/wisteriaglade-ctl/tests/stand/mod.rs
@@ -154,7 +154,7 @@
         ("GET", "/v1/members") => (200, json!([])),
         ("GET", "/v1/explain") => (200, json!({"pool": "lookup"})),
         ("POST", "/v1/nodes/9/drain" | "/v1/nodes/9/lost") => (200, Value::Null),
-        _ => (404, json!({"message": "no such resource"})),
+        _ => (404, json!({"message": "no such\u{7} resource"})),
     }
 }
 
