--- a/wisteriaglade-rules/src/lib.rs
+++ b/wisteriaglade-rules/src/lib.rs
@@ -19,8 +19,11 @@
 //! - The path template has exactly one segment `{key}`. Other segments are
 //!   literal or `*` (any one segment that is not empty). A final `**` stands
 //!   for any rest, including none.
-//! - `deadline`, `length` and `weight` are all required, in any order.
+//! - `deadline`, `length` and `weight` are all required, in any order. A
+//!   deadline is from 1 ms to 24 h, a weight from 1 to 1000.
 //! - A member has one weight for each pool.
+//! - A name has at most 64 characters, a template at most 32 segments, and a
+//!   file at most 768 KiB. Control characters other than tabs are refused.
 //!
 //! # Precedence
 //!
