Let a process advertise other addresses than it listens on

Connections to other processes leave from the address that the process listens on, so that hosts can be told apart and a fault-injecting proxy can stand between two of them.

--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -317,7 +317,7 @@
         admission: Arc::new(Admission::new(clock, admission)),
         seen: crate::seen::Seen::default(),
         records,
-        pool: Pool::new(key.clone(), timing.connect),
+        pool: Pool::new(key.clone(), addresses.peer.ip(), timing.connect),
         client: target::Client::new(timing.connect, CONNECTIONS),
         udp,
         replica,
--- a/wisteriaglade-node/src/pool.rs
+++ b/wisteriaglade-node/src/pool.rs
@@ -2,12 +2,13 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
+    io,
+    net::{IpAddr, SocketAddr},
     sync::Mutex,
     time::{Duration, Instant},
 };
 
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use wisteriaglade_wire::{self as wire, Key};
 
 use crate::{lock, message::Message};
@@ -29,6 +30,9 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     key: Key,
+    /// Connections leave from the address that this process listens on, so
+    /// that others can tell hosts apart.
+    local: IpAddr,
     connect: Duration,
     idle: Mutex<HashMap<SocketAddr, Vec<(Instant, Link)>>>,
 }
@@ -64,9 +68,10 @@
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
 impl Pool {
-    pub(crate) fn new(key: Key, connect: Duration) -> Self {
+    pub(crate) fn new(key: Key, local: IpAddr, connect: Duration) -> Self {
         Self {
             key,
+            local,
             connect,
             idle: Mutex::new(HashMap::new()),
         }
@@ -87,7 +92,8 @@
     /// A new connection.
     pub(crate) async fn open(&self, address: SocketAddr) -> Result<Link> {
         let connect = async {
-            let stream = TcpStream::connect(address)
+            let stream = self
+                .stream(address)
                 .await
                 .map_err(|error| Error::Connect(error.to_string()))?;
             let _ = stream.set_nodelay(true);
@@ -100,6 +106,18 @@
             .unwrap_or_else(|_| Err(Error::Connect("timed out".to_owned())))
     }
 
+    async fn stream(&self, address: SocketAddr) -> io::Result<TcpStream> {
+        let socket = if address.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        if self.local.is_ipv4() == address.is_ipv4() {
+            socket.bind((self.local, 0).into())?;
+        }
+        socket.connect(address).await
+    }
+
     /// Keeps a connection for the next exchange.
     pub(crate) fn put(&self, address: SocketAddr, link: Link) {
         let mut idle = lock(&self.idle);
--- a/wisteriaglade-node/src/session.rs
+++ b/wisteriaglade-node/src/session.rs
@@ -43,14 +43,14 @@
 }
 
 async fn join(context: &Context) -> Option<Node> {
-    let addresses = context.addresses;
+    let (addresses, advertise) = (context.addresses, &context.settings.listen.advertise);
     let command = Command::Join {
         ticket: rand::random(),
         host: context.settings.host.clone(),
         data_centre: context.settings.data_centre.clone(),
-        caller: addresses.caller,
-        peer: addresses.peer,
-        admin: addresses.admin,
+        caller: advertise.caller.unwrap_or(addresses.caller),
+        peer: advertise.peer.unwrap_or(addresses.peer),
+        admin: advertise.admin.unwrap_or(addresses.admin),
     };
     match context.propose(command, PATIENCE).await {
         Some(Reply::Joined(node)) => Some(node),
--- a/wisteriaglade-node/src/settings.rs
+++ b/wisteriaglade-node/src/settings.rs
@@ -19,7 +19,7 @@
 pub use self::{
     error::Error,
     limit::Limit,
-    listen::Listen,
+    listen::{Advertise, Listen},
     operator::Operator,
     replica::{Local, Replica},
     timing::Timing,
--- a/wisteriaglade-node/src/work.rs
+++ b/wisteriaglade-node/src/work.rs
@@ -315,7 +315,9 @@
     names::strip_hop(headers);
     set(headers, names::OUTCOME, Outcome::Done);
     set(headers, names::EPOCH, grant.epoch.get());
-    set(headers, names::OWNER, context.addresses.caller);
+    let advertised = context.settings.listen.advertise.caller;
+    let caller = advertised.unwrap_or(context.addresses.caller);
+    set(headers, names::OWNER, caller);
 }
 
 async fn whole(body: Incoming, deadline: tokio::time::Instant) -> Result<Bytes, Refusal> {
