Add the planner of the control state

The planner fences silent nodes, assigns shards after the lease wait, empties draining nodes, balances pools within a budget and isolates hot keys.

Reports that a target does not respond arrive one after the other, so acting on the first would empty targets one by one before the majority check can see a common cause; a report is acted on after 300 ms.

A target without fencing also waits for the deadlines of replaced rules, because nodes may begin requests under them for 5 s after a change.

--- a/wisteriaglade-control/src/lib.rs
+++ b/wisteriaglade-control/src/lib.rs
@@ -14,7 +14,7 @@
 //! present owner, or by [`Command::Assign`] when it has no owner or a fenced
 //! one. [`State::apply`] enforces this for any sequence of commands. It has no
 //! clock, so the wait between the fence of an owner and the assignment of its
-//! shards is the duty of the planner.
+//! shards is the duty of [`planner::Planner`].
 //!
 //! # Usage
 //!
@@ -61,6 +61,7 @@
 mod command;
 mod error;
 mod moves;
+pub mod planner;
 mod reason;
 mod reply;
 mod state;
--- /dev/null
+++ b/wisteriaglade-control/src/planner/assign.rs
@@ -0,0 +1,163 @@
+//! Shards without a usable owner.
+
+use wisteriaglade_types::{Name, Node};
+
+use super::{Planner, Task, holders::Spread, plan::Plan, roster::Roster};
+use crate::{Command, Grant, Move, Status};
+
+/// The largest number of moves in one command. One move takes about 25 bytes
+/// in the log, and a frame between replicas carries at most 1 MiB.
+const BATCH: usize = 1_024;
+
+/// The largest number of assignments of one look at a pool, so that a look at a
+/// starting pool with 230,000 shards does not delay the heartbeats.
+const MOST_ASSIGNMENTS: usize = 16 * BATCH;
+
+/// The largest number of transfers of one look at a pool.
+const MOST_TRANSFERS: usize = 512;
+
+impl Planner {
+    /// Assigns ownerless shards and those of fenced nodes whose wait is over,
+    /// and empties nodes that are draining or whose targets do not respond.
+    pub(super) fn assign(&self, task: &Task<'_>, plan: &mut Plan, commands: &mut Vec<Command>) {
+        let needs = self.needs(task, plan);
+        if needs.is_empty() {
+            return;
+        }
+        let mut roster = Roster::new(self.entries(task, plan));
+        for grant in task.pool.grants() {
+            if let Some(to) = plan.destination(&grant) {
+                roster.add(to, 1.0);
+            }
+        }
+        let spread = Spread::new(task.state);
+        let mut moves = Vec::new();
+        let mut transfers = 0;
+        for grant in task.pool.grants() {
+            match needs.of(&grant) {
+                Need::Owner if moves.len() < MOST_ASSIGNMENTS => {
+                    if plan.in_flight(&grant).is_some() {
+                        continue;
+                    }
+                    let Some(to) = choose(task, &mut roster, &grant) else {
+                        break;
+                    };
+                    plan.propose(task.now, &grant, to);
+                    let holders = task.pool.holders(grant.shard);
+                    moves.push(Move {
+                        shard: grant.shard,
+                        epoch: grant.epoch,
+                        to,
+                        holders: match holders {
+                            [] => spread.first(task.name, grant.shard, to),
+                            _ => Vec::new(),
+                        },
+                    });
+                }
+                Need::Room if transfers < MOST_TRANSFERS => {
+                    if plan.destination(&grant).is_some() {
+                        continue;
+                    }
+                    let Some(to) = choose(task, &mut roster, &grant) else {
+                        break;
+                    };
+                    transfers += 1;
+                    plan.propose(task.now, &grant, to);
+                    commands.push(Command::Transfer {
+                        pool: task.name.clone(),
+                        shard: grant.shard,
+                        to,
+                    });
+                }
+                Need::None | Need::Owner | Need::Room => {}
+            }
+        }
+        for moves in moves.chunks(BATCH) {
+            commands.push(Command::Assign {
+                pool: task.name.clone(),
+                moves: moves.to_vec(),
+            });
+        }
+    }
+
+    fn needs(&self, task: &Task<'_>, plan: &mut Plan) -> Needs {
+        let held = |nodes: &[Node]| {
+            let mut nodes = nodes.to_vec();
+            nodes.retain(|node| task.state.node(*node).is_some_and(|own| own.held() > 0));
+            nodes
+        };
+        let refusing = self.refusing(task.now, task.processes);
+        let of = |wanted: &dyn Fn(&crate::Process) -> bool| -> Vec<Node> {
+            let found = task.processes.iter().filter(|process| wanted(process));
+            found.map(|process| process.node()).collect()
+        };
+        let free = of(&|process| {
+            process.is_fenced()
+                && self
+                    .waits
+                    .is_over(task.now, &self.config, task.state, process)
+        });
+        let leaving = of(&|process| {
+            process.status() == Status::Draining || refusing.binary_search(&process.node()).is_ok()
+        });
+        let owned: usize = task
+            .processes
+            .iter()
+            .map(|process| process.held() as usize)
+            .sum();
+        let shards = task.pool.shards() as usize + task.pool.hot().len();
+        let ownerless = owned < shards;
+        if !ownerless {
+            plan.is_complete();
+        }
+        let ready = task.processes.iter();
+        let ready = ready.filter(|process| process.status() == Status::Ready);
+        Needs {
+            free: held(&free),
+            leaving: held(&leaving),
+            ownerless: ownerless && ready.count() > 0 && plan.is_gathered(task.now, &self.config),
+        }
+    }
+}
+
+/// What a shard needs.
+enum Need {
+    None,
+    /// It has no owner that could agree to a move.
+    Owner,
+    /// Its owner has to give it away.
+    Room,
+}
+
+/// The nodes of a pool whose shards need another owner.
+struct Needs {
+    free: Vec<Node>,
+    leaving: Vec<Node>,
+    ownerless: bool,
+}
+
+impl Needs {
+    fn is_empty(&self) -> bool {
+        self.free.is_empty() && self.leaving.is_empty() && !self.ownerless
+    }
+
+    fn of(&self, grant: &Grant) -> Need {
+        match grant.owner {
+            None if self.ownerless => Need::Owner,
+            Some(owner) if self.free.binary_search(&owner).is_ok() => Need::Owner,
+            Some(owner) if self.leaving.binary_search(&owner).is_ok() => Need::Room,
+            _ => Need::None,
+        }
+    }
+}
+
+fn choose(task: &Task<'_>, roster: &mut Roster, grant: &Grant) -> Option<Node> {
+    let holders = task.pool.holders(grant.shard);
+    roster.pick(holders, &centres(task, holders))
+}
+
+/// The data centres of the holders of a shard.
+pub(super) fn centres(task: &Task<'_>, holders: &[Node]) -> Vec<Name> {
+    let holders = holders.iter().filter_map(|node| task.state.node(*node));
+    holders.map(|holder| holder.data_centre().clone()).collect()
+}
--- /dev/null
+++ b/wisteriaglade-control/src/planner/balance.rs
@@ -0,0 +1,136 @@
+//! Moves that balance the load of a pool.
+
+use std::collections::BTreeMap;
+
+use wisteriaglade_types::{Node, Shard};
+
+use super::{Planner, Task, assign::centres, plan::Plan, roster::Entry, roster::Roster};
+use crate::{Command, Grant};
+
+/// The largest number of moves of one look at a pool.
+const MOST: usize = 64;
+
+/// A shard that may move.
+#[derive(Debug, Clone, Copy)]
+struct Item {
+    grant: Grant,
+    heat: f64,
+}
+
+impl Planner {
+    /// Moves shards from the nodes with the highest pressure to those with the
+    /// lowest, within the budget of the pool.
+    pub(super) fn balance(&self, task: &Task<'_>, plan: &mut Plan, commands: &mut Vec<Command>) {
+        let allowance = plan.allowance(&self.config, task.pool.shards()).min(MOST);
+        let entries = self.entries(task, plan);
+        if allowance == 0 || entries.len() < 2 {
+            return;
+        }
+        let mut roster = Roster::new(entries);
+        plan.balancing = self.is_unequal(&roster, plan.balancing);
+        if !plan.balancing {
+            return;
+        }
+        let mut items = self.items(task, plan, &mut roster);
+        for _ in 0..allowance {
+            if !self.is_unequal(&roster, true) {
+                break;
+            }
+            let Some((item, from, to)) = next(task, &roster, &mut items) else {
+                break;
+            };
+            roster.add(from, -item.heat);
+            roster.add(to, item.heat);
+            plan.propose(task.now, &item.grant, to);
+            plan.spend(task.now);
+            commands.push(Command::Transfer {
+                pool: task.name.clone(),
+                shard: item.grant.shard,
+                to,
+            });
+        }
+    }
+
+    /// Whether the pressures differ by more than the bound, which is lower
+    /// while moves are under way.
+    fn is_unequal(&self, roster: &Roster, moving: bool) -> bool {
+        let bound = if moving {
+            self.config.balanced
+        } else {
+            self.config.imbalance
+        };
+        let mean = roster.mean();
+        let pressures = || roster.entries().iter().map(Entry::pressure);
+        let high = pressures().fold(0.0, f64::max);
+        let low = pressures().fold(f64::MAX, f64::min);
+        // The low side is looked at as well: among many nodes a newcomer
+        // without shards hardly changes the ratio of the highest to the mean.
+        mean > 0.0 && (high > mean * bound || low * bound < mean)
+    }
+
+    /// The shards that may move, by owner; and counts the moves under way.
+    fn items(&self, task: &Task<'_>, plan: &Plan, roster: &mut Roster) -> Items {
+        let residence = self.config.residence;
+        let mut items = Items::new();
+        let total: f64 = roster
+            .entries()
+            .iter()
+            .map(|entry| self.rate(entry.node))
+            .sum();
+        let mean = total / f64::from(task.pool.shards());
+        for grant in task.pool.grants() {
+            let Some(owner) = grant.owner else { continue };
+            let Some(heat) = roster.get(owner).map(|entry| entry.heat) else {
+                continue;
+            };
+            if let Some(to) = plan.destination(&grant) {
+                roster.add(owner, -heat);
+                roster.add(to, heat);
+            } else if self.ages.is_older(task.now, residence, grant.epoch) {
+                let key = task.pool.key(grant.shard);
+                let rate = key.map_or(0.0, |key| plan.keys.rate(task.now, key));
+                let heat = if rate > 0.0 && mean > 0.0 {
+                    rate / mean
+                } else {
+                    heat
+                };
+                items.entry(owner).or_default().push(Item { grant, heat });
+            }
+        }
+        items
+    }
+}
+
+type Items = BTreeMap<Node, Vec<Item>>;
+
+/// The next move: from the highest pressure that has a shard whose move does
+/// not only turn the inequality around, to the lowest.
+fn next(task: &Task<'_>, roster: &Roster, items: &mut Items) -> Option<(Item, Node, Node)> {
+    let order = |one: &&Entry, two: &&Entry| one.pressure().total_cmp(&two.pressure());
+    let to = roster.entries().iter().min_by(order)?;
+    let mut sources: Vec<&Entry> = roster.entries().iter().collect();
+    sources.sort_by(|one, two| order(two, one));
+    for from in sources.into_iter().filter(|from| from.node != to.node) {
+        let Some(owned) = items.get_mut(&from.node) else {
+            continue;
+        };
+        let fits = |item: &Item| from.pressure_with(-item.heat) >= to.pressure_with(item.heat);
+        let candidates = owned.iter().enumerate().filter(|(_, item)| fits(item));
+        let best = candidates.min_by(|(_, one), (_, two)| {
+            let near = |item: &Item| is_near(task, item.grant.shard, to);
+            let nearer = near(one).cmp(&near(two));
+            nearer.then(two.heat.total_cmp(&one.heat))
+        });
+        if let Some((at, _)) = best {
+            return Some((owned.swap_remove(at), from.node, to.node));
+        }
+    }
+    None
+}
+
+/// Whether the loss of the node or of its data centre would take a holder of
+/// the shard with it.
+fn is_near(task: &Task<'_>, shard: Shard, to: &Entry) -> bool {
+    let holders = task.pool.holders(shard);
+    holders.contains(&to.node) || centres(task, holders).contains(&to.data_centre)
+}
--- /dev/null
+++ b/wisteriaglade-control/src/planner/holders.rs
@@ -0,0 +1,162 @@
+//! Which nodes hold the records of a shard.
+
+use std::collections::BTreeMap;
+
+use wisteriaglade_types::{Name, Node, Shard};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{Process, State, Status};
+
+/// The nodes that can hold records, by their data centres.
+#[derive(Debug)]
+pub(crate) struct Spread {
+    centres: Vec<Vec<Node>>,
+    count: usize,
+}
+
+impl Spread {
+    pub(crate) fn new(state: &State) -> Self {
+        let mut centres = BTreeMap::<&Name, Vec<Node>>::new();
+        for process in state.nodes().filter(|process| can_hold(process)) {
+            let nodes = centres.entry(process.data_centre()).or_default();
+            nodes.push(process.node());
+        }
+        Self {
+            centres: centres.into_values().collect(),
+            count: state.config().holders.clamp(1, State::HOLDERS),
+        }
+    }
+
+    /// The first holders of a shard: in different data centres where there are
+    /// as many, and not the owner where there are enough nodes. The choice
+    /// costs no look at all nodes, so that it suits a whole pool at once.
+    pub(crate) fn first(&self, pool: &Name, shard: Shard, owner: Node) -> Vec<Node> {
+        let seed = score(pool.as_str(), shard, 0);
+        let mut chosen = Vec::with_capacity(self.count);
+        // The data centre of the owner comes last, so that one failure does not
+        // take both, and the owner itself is the last resort.
+        let mut order: Vec<_> = (0..self.centres.len()).collect();
+        order.sort_by_key(|at| {
+            let centre = &self.centres[*at];
+            let own = centre.binary_search(&owner).is_ok();
+            (own, score(pool.as_str(), shard, *at as u64 + 1))
+        });
+        for round in 0..self.count {
+            for at in &order {
+                let centre = &self.centres[*at];
+                let others = centre.len() - usize::from(centre.contains_sorted(owner));
+                if chosen.len() < self.count && round < others {
+                    chosen.push(nth(centre, seed, round, owner));
+                }
+            }
+        }
+        if chosen.len() < self.count
+            && self
+                .centres
+                .iter()
+                .any(|nodes| nodes.contains_sorted(owner))
+        {
+            chosen.push(owner);
+        }
+        chosen
+    }
+}
+
+trait Sorted {
+    fn contains_sorted(&self, node: Node) -> bool;
+}
+
+impl Sorted for Vec<Node> {
+    fn contains_sorted(&self, node: Node) -> bool {
+        self.binary_search(&node).is_ok()
+    }
+}
+
+/// The node at a hashed position, `round` places on, without the owner.
+fn nth(centre: &[Node], seed: u64, round: usize, owner: Node) -> Node {
+    let own = centre.binary_search(&owner).ok();
+    let others = centre.len() - usize::from(own.is_some());
+    #[allow(
+        clippy::cast_possible_truncation,
+        reason = "the remainder is below a length"
+    )]
+    let start = (seed % others as u64) as usize;
+    let at = (start + round) % others;
+    centre[at + usize::from(own.is_some_and(|own| at >= own))]
+}
+
+/// The holders that a shard needs, when they differ from the present ones.
+///
+/// The node that owns the shard calls this after each change of the nodes. When
+/// it returns a set, the owner copies the records to the new holders and then
+/// proposes [`Command::Hold`](crate::Command::Hold). Holders that can stay do.
+/// New ones are chosen by rendezvous hashing, so that the shards of a lost node
+/// spread over all others.
+///
+/// A dedicated shard gets the holders of the shard that its key returns to,
+/// because a merge needs equal ones.
+#[must_use]
+pub fn replacement(state: &State, pool: &str, shard: Shard) -> Option<Vec<Node>> {
+    let table = state.pool(pool)?;
+    let present = table.holders(shard);
+    let wanted = if let Some(key) = table.key(shard) {
+        let base = key.shard(table.shards());
+        wanted(state, pool, base, table.holders(base))
+    } else {
+        wanted(state, pool, shard, present)
+    };
+    let equal = wanted.len() == present.len() && wanted.iter().all(|node| present.contains(node));
+    (!equal && !wanted.is_empty()).then_some(wanted)
+}
+
+/// The present holders that can stay, completed by new ones.
+fn wanted(state: &State, pool: &str, shard: Shard, present: &[Node]) -> Vec<Node> {
+    let count = state.config().holders.clamp(1, State::HOLDERS);
+    let owner = state.pool(pool).and_then(|table| table.grant(shard)?.owner);
+    let live: Vec<&Process> = state.nodes().filter(|process| can_hold(process)).collect();
+    let mut chosen: Vec<&Process> = Vec::with_capacity(count);
+    // One holder of each data centre stays; two in one data centre are parted
+    // when another data centre has a node.
+    let stays = live
+        .iter()
+        .filter(|process| present.contains(&process.node()));
+    let mut doubles = Vec::new();
+    for process in stays.copied() {
+        if shares(&chosen, process) {
+            doubles.push(process);
+        } else {
+            chosen.push(process);
+        }
+    }
+    while chosen.len() < count {
+        let rest = live.iter().copied();
+        let rest = rest.filter(|process| chosen.iter().all(|own| own.node() != process.node()));
+        let next = rest.min_by_key(|process| {
+            let node = process.node();
+            (
+                shares(&chosen, process),
+                !doubles.iter().any(|double| double.node() == node),
+                owner == Some(node),
+                process.status() != Status::Ready,
+                std::cmp::Reverse(score(pool, shard, node.get())),
+            )
+        });
+        let Some(next) = next else { break };
+        chosen.push(next);
+    }
+    chosen.into_iter().map(Process::node).collect()
+}
+
+fn shares(chosen: &[&Process], process: &Process) -> bool {
+    let centre = process.data_centre();
+    chosen.iter().any(|own| own.data_centre() == centre)
+}
+
+const fn can_hold(process: &Process) -> bool {
+    matches!(process.status(), Status::Joined | Status::Ready)
+}
+
+fn score(pool: &str, shard: Shard, part: u64) -> u64 {
+    let seed = u64::from(shard.get()) << 32 ^ part.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    xxh3_64_with_seed(pool.as_bytes(), seed)
+}
--- /dev/null
+++ b/wisteriaglade-control/src/planner/hot.rs
@@ -0,0 +1,132 @@
+//! Dedicated shards for hot keys.
+
+use std::time::Duration;
+
+use wisteriaglade_types::Hash;
+
+use super::{Planner, Subject, Task, plan::Plan, roster::Roster};
+use crate::{Command, Grant, Pool};
+
+/// The largest number of keys that get a dedicated shard in one look at a pool.
+const MOST: usize = 16;
+
+/// The lowest rate of a hot key in requests per second. Below it, a move costs
+/// more than it gains in a pool of any size.
+const LEAST: f64 = 10.0;
+
+impl Planner {
+    /// Gives hot keys a dedicated shard and removes those of cold keys.
+    pub(super) fn isolate(
+        &mut self,
+        task: &Task<'_>,
+        plan: &mut Plan,
+        commands: &mut Vec<Command>,
+    ) {
+        let roster = Roster::new(self.entries(task, plan));
+        let rates = roster.entries().iter().map(|entry| self.rate(entry.node));
+        let total: f64 = rates.sum();
+        #[allow(clippy::cast_precision_loss, reason = "there are few nodes")]
+        let count = roster.entries().len().max(1) as f64;
+        let bound = (total / count * self.config.hot).max(LEAST);
+        plan.keys.compare(task.now, bound, task.pool);
+        self.split(task, plan, &roster, commands);
+        self.merge(task, plan, commands);
+    }
+
+    fn split(
+        &mut self,
+        task: &Task<'_>,
+        plan: &Plan,
+        roster: &Roster,
+        commands: &mut Vec<Command>,
+    ) {
+        let room = Pool::MOST_DEDICATED - task.pool.hot().len();
+        let hot = plan.keys.hot(task.now, &self.config);
+        let hot = hot
+            .into_iter()
+            .filter(|(hash, _)| task.pool.dedicated(*hash).is_none());
+        let paying: Vec<Hash> = hot
+            .filter(|(hash, rate)| self.pays(task, plan, roster, *hash, *rate))
+            .map(|(hash, _)| hash)
+            .take(MOST.min(room))
+            .collect();
+        for hash in paying {
+            let pool = task.name.clone();
+            if self
+                .sent
+                .note(task.now, Subject::Single(pool.clone(), hash))
+            {
+                commands.push(Command::Single { pool, hash });
+            }
+        }
+    }
+
+    /// Whether a dedicated shard helps: its owner is more loaded than the mean
+    /// and has other work from which the key can be parted.
+    fn pays(&self, task: &Task<'_>, plan: &Plan, roster: &Roster, hash: Hash, rate: f64) -> bool {
+        let grant = task.pool.grant(task.pool.shard(hash));
+        let Some(grant) = grant.filter(|grant| plan.destination(grant).is_none()) else {
+            return false;
+        };
+        let owner = grant.owner.and_then(|owner| roster.get(owner));
+        owner.is_some_and(|owner| {
+            owner.pressure() > roster.mean() && rate < 0.9 * self.rate(owner.node)
+        })
+    }
+
+    fn merge(&mut self, task: &Task<'_>, plan: &mut Plan, commands: &mut Vec<Command>) {
+        let after = cold_after(self.config.cold_after, task.pool);
+        for (hash, shard) in task.pool.hot() {
+            if !plan.keys.is_cold(task.now, after, *hash) {
+                continue;
+            }
+            let base = task.pool.grant(hash.shard(task.pool.shards()));
+            let (Some(from), Some(into)) = (task.pool.grant(*shard), base) else {
+                continue;
+            };
+            let still = |grant: &Grant| plan.destination(grant).is_none();
+            if still(&from) && still(&into) {
+                self.rejoin(task, plan, *hash, (from, into), commands);
+            }
+        }
+    }
+
+    /// Moves a dedicated shard to the owner that takes the key back, and then
+    /// merges it. In between, the owners make the holders equal.
+    fn rejoin(
+        &mut self,
+        task: &Task<'_>,
+        plan: &mut Plan,
+        hash: Hash,
+        (from, into): (Grant, Grant),
+        commands: &mut Vec<Command>,
+    ) {
+        let pool = task.name.clone();
+        let Some(to) = into.owner else { return };
+        if from.owner != into.owner {
+            let ready = task.state.node(to);
+            if ready.is_some_and(|node| node.is_ready(task.name.as_str())) {
+                plan.propose(task.now, &from, to);
+                let shard = from.shard;
+                commands.push(Command::Transfer { pool, shard, to });
+            }
+            return;
+        }
+        let (one, two) = (task.pool.holders(from.shard), task.pool.holders(into.shard));
+        let equal = one.len() == two.len() && one.iter().all(|node| two.contains(node));
+        if equal && self.sent.note(task.now, Subject::Merge(pool.clone(), hash)) {
+            commands.push(Command::Merge { pool, hash });
+        }
+    }
+}
+
+/// The time after which a key counts as cold: shorter, the fewer dedicated
+/// shards are left, because the hottest keys of a pool can change within
+/// minutes.
+fn cold_after(longest: Duration, pool: &Pool) -> Duration {
+    const LEAST: Duration = Duration::from_secs(30);
+    let left = Pool::MOST_DEDICATED - pool.hot().len();
+    #[allow(clippy::cast_precision_loss, reason = "both are at most 512")]
+    let part = left as f64 / Pool::MOST_DEDICATED as f64;
+    longest.mul_f64(part).max(LEAST.min(longest))
+}
--- /dev/null
+++ b/wisteriaglade-control/tests/duties.rs
@@ -0,0 +1,368 @@
+//! What the planner does while no node is lost.
+
+mod fixture;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use fixture::{
+    Cluster, POOL,
+    driver::{Driver, load, ms},
+    target,
+};
+use rstest::rstest;
+use wisteriaglade_control::{
+    Command, Config, State, Target,
+    planner::{self, replacement},
+};
+use wisteriaglade_types::{Hash, Node, Shard};
+
+const MINUTE: Duration = Duration::from_mins(1);
+
+fn assert_near(held: u32, expected: u32) {
+    assert!(held.abs_diff(expected) <= 1, "{held} instead of {expected}");
+}
+
+// The first target of a starting pool would get every shard, and the others
+// would wait minutes for the balance.
+#[test]
+fn a_starting_pool_is_shared_in_proportion_to_slots() {
+    let mut driver = Driver::new(Cluster::new(256));
+    let slots = [12, 12, 24];
+    let nodes = slots.map(|slots| {
+        let node = driver.cluster.ready_with(POOL, "Bangor", target(slots));
+        driver.run(ms(150));
+        node
+    });
+    driver.run(ms(300));
+    for (node, expected) in nodes.iter().zip([64, 64, 128]) {
+        assert_near(driver.held(*node), expected);
+    }
+    assert!(driver.transfers().is_empty());
+}
+
+#[test]
+fn a_starting_pool_does_not_wait_for_ever() {
+    let mut driver = Driver::new(Cluster::new(16));
+    for _ in 0..20 {
+        driver.cluster.ready(POOL, "Bangor");
+        driver.run(ms(150));
+    }
+    assert!(
+        driver
+            .state()
+            .shards(POOL)
+            .all(|grant| grant.owner.is_some())
+    );
+}
+
+#[test]
+fn a_draining_node_is_emptied_and_each_shard_moves_once() {
+    let (mut driver, nodes) = Driver::started(256, &[12, 12, 24, 12]);
+    driver.apply(Command::Drain { node: nodes[3] });
+    driver.run(ms(1_000));
+    assert_eq!(driver.held(nodes[3]), 0);
+    assert_near(driver.held(nodes[0]), 64);
+    assert_near(driver.held(nodes[2]), 128);
+    let shards: BTreeSet<Shard> = driver
+        .transfers()
+        .iter()
+        .map(|(_, shard, _)| *shard)
+        .collect();
+    assert_eq!(
+        driver.transfers().len(),
+        shards.len(),
+        "a shard moved twice"
+    );
+}
+
+// A target that hangs would keep its shards out of service; a report that most
+// targets make at once has another cause, and moving would only add load.
+#[rstest]
+#[case::some(2, 0)]
+#[case::most(3, 52)]
+fn the_shards_of_a_target_that_does_not_respond_move(#[case] count: usize, #[case] kept: u32) {
+    let (mut driver, nodes) = Driver::started(256, &[12; 5]);
+    driver.refusing.extend(&nodes[..count]);
+    driver.run(ms(3_000));
+    assert!(driver.held(nodes[0]) <= kept);
+    assert!(driver.held(nodes[0]) + 1 >= kept);
+}
+
+/// The largest number of transfers within one minute.
+fn most_in_a_minute(driver: &Driver) -> usize {
+    let transfers = driver.transfers();
+    let since = |start: Duration| {
+        let times = transfers.iter().map(|(at, ..)| *at);
+        times
+            .filter(|at| *at >= start && *at < start + MINUTE)
+            .count()
+    };
+    transfers
+        .iter()
+        .map(|(at, ..)| since(*at))
+        .max()
+        .unwrap_or(0)
+}
+
+// Everything at once would leave the newcomer cold, and the old owners' keys
+// unavailable while they move.
+#[test]
+fn a_newcomer_gets_its_share_within_the_budget() {
+    let (mut driver, _) = Driver::started(256, &[12; 4]);
+    driver.step = ms(50);
+    let newcomer = driver.cluster.ready(POOL, "Bangor");
+    driver.run(ms(58_000));
+    assert_eq!(
+        driver.held(newcomer),
+        0,
+        "shards moved within their residence"
+    );
+    driver.run(MINUTE * 6);
+    assert!(driver.held(newcomer) >= 44, "{}", driver.held(newcomer));
+    assert!(
+        most_in_a_minute(&driver) <= 12,
+        "{}",
+        most_in_a_minute(&driver)
+    );
+    let count = driver.transfers().len();
+    driver.run(MINUTE * 5);
+    assert!(driver.transfers().len() <= count + 8, "it does not settle");
+}
+
+#[test]
+fn a_cold_target_gets_shards_as_it_warms_up() {
+    let (mut driver, _) = Driver::started(256, &[12; 4]);
+    driver.step = ms(50);
+    driver.run(MINUTE);
+    let cold_start = MINUTE * 20;
+    let target = Target {
+        cold_start,
+        ..target(12)
+    };
+    let newcomer = driver.cluster.ready_with(POOL, "Bangor", target);
+    driver.run(MINUTE * 3);
+    // A tenth of a share of 51, where a warm target would have 36 by now.
+    let cold = driver.held(newcomer);
+    assert!((1..=15).contains(&cold), "{cold}");
+    driver.run(MINUTE * 20);
+    assert!(driver.held(newcomer) >= 42, "{}", driver.held(newcomer));
+}
+
+// Without hysteresis every small difference would move shards.
+#[rstest]
+#[case::below_the_bound(&[70, 64, 64, 58], false)]
+#[case::above_the_bound(&[96, 64, 48, 48], true)]
+fn shards_move_for_balance_above_a_bound_only(#[case] held: &[u32], #[case] moves: bool) {
+    let mut cluster = Cluster::new(256);
+    let mut first = 0;
+    for count in held {
+        let node = cluster.ready(POOL, "Bangor");
+        cluster.give(first..first + count, node, &[node]);
+        first += count;
+    }
+    let mut driver = Driver::new(cluster);
+    driver.step = ms(50);
+    driver.run(MINUTE * 3);
+    assert_eq!(!driver.transfers().is_empty(), moves);
+}
+
+// Back ends of different age announce the same slots.
+#[test]
+fn a_slow_target_gives_shards_to_the_fast_ones() {
+    let (mut driver, nodes) = Driver::started(256, &[12; 4]);
+    driver.step = ms(50);
+    // Each shard has 50 requests per second; a slot of the first target serves
+    // 250 of them and one of the others 500.
+    for _ in 0..360 {
+        for node in &nodes {
+            let rate = f64::from(driver.held(*node)) * 50.0;
+            let speed = if *node == nodes[0] { 250.0 } else { 500.0 };
+            let report = load(rate / (12.0 * speed), rate, &[]);
+            driver.loads.insert(*node, report);
+        }
+        driver.run(ms(1_000));
+    }
+    let slow = driver.held(nodes[0]);
+    assert!((30..=50).contains(&slow), "{slow}");
+}
+
+/// Four nodes of which the first serves `rate` requests per second of a key
+/// among 2,000.
+fn hot(rate: f64, other: f64) -> (Driver, Vec<Node>, Hash) {
+    let (mut driver, nodes) = Driver::started(256, &[12; 4]);
+    driver.step = ms(50);
+    let owner = driver.state().shards_of(nodes[0]).next().unwrap();
+    let hash = Hash::new(u64::from(owner.shard.get()) + 256 * 1_000);
+    for node in &nodes {
+        driver.loads.insert(*node, load(0.5, 1_000.0, &[]));
+    }
+    driver
+        .loads
+        .insert(nodes[0], load(0.9, rate + other, &[(hash, rate)]));
+    (driver, nodes, hash)
+}
+
+// A key below the bound, or one that is all the work of its node, gains nothing
+// from a shard of its own.
+#[rstest]
+#[case::hot(1_000.0, 1_000.0, 1)]
+#[case::lukewarm(200.0, 1_800.0, 0)]
+#[case::alone(1_000.0, 10.0, 0)]
+fn a_hot_key_gets_a_dedicated_shard(#[case] rate: f64, #[case] other: f64, #[case] count: usize) {
+    let (mut driver, ..) = hot(rate, other);
+    driver.run(ms(2_000));
+    assert_eq!(
+        driver.state().pool(POOL).unwrap().hot().len(),
+        0,
+        "hot for a moment only"
+    );
+    driver.run(ms(8_000));
+    assert_eq!(driver.state().pool(POOL).unwrap().hot().len(), count);
+}
+
+#[test]
+fn a_dedicated_shard_goes_back_after_the_key_has_been_cold() {
+    let (mut driver, nodes, hash) = hot(1_000.0, 1_000.0);
+    driver.run(ms(10_000));
+    let shard = driver.state().pool(POOL).unwrap().dedicated(hash).unwrap();
+    driver.apply(Command::Transfer {
+        pool: POOL.into(),
+        shard,
+        to: nodes[1],
+    });
+    driver.loads.insert(nodes[0], load(0.5, 1_000.0, &[]));
+    driver.run(MINUTE * 9);
+    assert_eq!(
+        driver.state().pool(POOL).unwrap().hot().len(),
+        1,
+        "cold for a short time"
+    );
+    driver.run(MINUTE * 3);
+    assert_eq!(driver.state().pool(POOL).unwrap().hot().len(), 0);
+    assert!(
+        driver
+            .times(|command| matches!(command, Command::Merge { .. }))
+            .len()
+            == 1
+    );
+}
+
+fn centres(state: &State, nodes: &[Node]) -> BTreeSet<String> {
+    let centres = nodes
+        .iter()
+        .map(|node| state.node(*node).unwrap().data_centre());
+    centres.map(ToString::to_string).collect()
+}
+
+#[test]
+fn first_holders_are_in_three_data_centres_without_the_owner() {
+    let (driver, nodes) = Driver::started(256, &[12; 8]);
+    let state = driver.state();
+    let mut counts = std::collections::BTreeMap::<Node, u32>::new();
+    for grant in state.shards(POOL) {
+        let holders = state.holders(POOL, grant.shard);
+        assert_eq!(centres(state, holders).len(), 3);
+        // One loss of a data centre must not take the owner and a holder.
+        let owner = centres(state, &[grant.owner.unwrap()]);
+        assert!(owner.is_disjoint(&centres(state, holders)));
+        assert_eq!(replacement(state, POOL, grant.shard), None);
+        for node in holders {
+            *counts.entry(*node).or_default() += 1;
+        }
+    }
+    // The mean is 96.
+    assert!(
+        nodes.iter().all(|node| (60..=135).contains(&counts[node])),
+        "{counts:?}"
+    );
+}
+
+#[rstest]
+#[case::one(1, 1)]
+#[case::two(2, 2)]
+#[case::three(3, 3)]
+fn with_few_nodes_there_are_as_many_holders(#[case] count: usize, #[case] holders: usize) {
+    let (driver, _) = Driver::started(16, &vec![12; count]);
+    assert_eq!(driver.state().holders(POOL, Shard::new(3)).len(), holders);
+}
+
+// Replacing more than the lost holder would copy records without need; one
+// successor for all shards of the lost node would be overloaded.
+#[test]
+fn a_lost_holder_is_replaced_alone_and_by_many() {
+    let (mut driver, nodes) = Driver::started(256, &[12; 12]);
+    driver.cluster.apply(&Command::Fence { node: nodes[4] });
+    let state = driver.state();
+    let mut successors = BTreeSet::new();
+    for grant in state.shards(POOL) {
+        let holders = state.holders(POOL, grant.shard);
+        let Some(wanted) = replacement(state, POOL, grant.shard) else {
+            assert!(!holders.contains(&nodes[4]));
+            continue;
+        };
+        assert!(holders.contains(&nodes[4]));
+        assert_eq!(centres(state, &wanted).len(), 3);
+        assert_eq!(
+            wanted.iter().filter(|node| holders.contains(node)).count(),
+            2
+        );
+        successors.extend(
+            wanted
+                .iter()
+                .filter(|node| !holders.contains(node))
+                .copied(),
+        );
+    }
+    assert!(successors.len() >= 8, "{successors:?}");
+}
+
+// A dedicated shard whose holders differ could never be merged.
+#[test]
+fn a_dedicated_shard_gets_the_holders_of_its_base() {
+    let (mut driver, nodes) = Driver::started(16, &[12; 8]);
+    let hash = Hash::new(5);
+    driver.cluster.apply(&Command::Single {
+        pool: POOL.into(),
+        hash,
+    });
+    let state = driver.state();
+    let base = state.holders(POOL, Shard::new(5)).to_vec();
+    let owner = state.locate(POOL, hash).unwrap();
+    let others = nodes.iter().filter(|node| !base.contains(node));
+    let holders = others.copied().take(3).collect();
+    driver.cluster.apply(&Command::Hold {
+        node: owner.owner.unwrap(),
+        pool: POOL.into(),
+        shard: owner.shard,
+        epoch: owner.epoch,
+        holders,
+    });
+    let mut wanted = replacement(driver.state(), POOL, owner.shard).unwrap();
+    let mut base = base;
+    wanted.sort();
+    base.sort();
+    assert_eq!(wanted, base);
+}
+
+#[test]
+fn a_follower_proposes_nothing() {
+    let (mut driver, nodes) = Driver::started(16, &[12; 4]);
+    driver.proposals.clear();
+    driver.event(planner::Event::Follow);
+    driver.silent.insert(nodes[0]);
+    driver.run(ms(2_000));
+    assert!(driver.proposals.is_empty());
+}
+
+#[test]
+fn the_defaults_are_those_of_the_design() {
+    assert_eq!(
+        Config::default(),
+        Config {
+            shards: 256,
+            holders: 3
+        }
+    );
+    let config = planner::Config::default();
+    assert_eq!((config.suspect, config.lease), (ms(350), ms(400)));
+}
--- /dev/null
+++ b/wisteriaglade-control/tests/loss.rs
@@ -0,0 +1,187 @@
+//! What the planner does about nodes that go silent.
+
+mod fixture;
+
+use fixture::{
+    Cluster, POOL,
+    driver::{Driver, ms},
+    target,
+};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use rstest::rstest;
+use wisteriaglade_control::{Command, Target, planner::Event};
+use wisteriaglade_types::Node;
+
+const fn is_fence(command: &Command) -> bool {
+    matches!(command, Command::Fence { .. })
+}
+
+const fn is_assign(command: &Command) -> bool {
+    matches!(command, Command::Assign { .. })
+}
+
+/// Four nodes that do or do not check fencing tokens, the first one silent.
+fn lossy(fencing: bool, before: &[u64]) -> (Driver, Node) {
+    let mut cluster = Cluster::new(16);
+    let target = Target {
+        fencing,
+        ..target(12)
+    };
+    let centres = ["Caerdydd", "Abertawe", "Bangor", "Aberystwyth"];
+    let nodes = centres.map(|centre| cluster.ready_with(POOL, centre, target));
+    for longest in before {
+        cluster.longest(ms(*longest));
+    }
+    let mut driver = Driver::new(cluster);
+    driver.run(ms(1_000));
+    driver.effects.clear();
+    driver.silent.insert(nodes[0]);
+    (driver, nodes[0])
+}
+
+// An assignment before the wait is over would give a shard two owners; a fence
+// or an assignment that is late would break the recovery time.
+#[rstest]
+#[case::lease(true, &[2_000], false, 408)]
+#[case::lease_and_longest_deadline(false, &[2_000], false, 2_408)]
+#[case::lease_when_an_operator_says_the_host_is_off(false, &[2_000], true, 408)]
+#[case::lease_and_deadline_of_replaced_rules(false, &[4_000, 2_000], false, 4_408)]
+fn a_silent_node_is_fenced_and_replaced_after_the_wait(
+    #[case] fencing: bool,
+    #[case] rules: &[u64],
+    #[case] off: bool,
+    #[case] wait: u64,
+) {
+    let (mut driver, lost) = lossy(fencing, rules);
+    let begin = driver.renewals[&lost];
+    if off {
+        driver.event(Event::Lost { node: lost });
+    }
+
+    driver.run(ms(6_000));
+
+    let fenced = driver.times(is_fence)[0];
+    let silence = fenced.saturating_sub(begin);
+    assert!(silence > ms(350) && silence <= ms(390), "{silence:?}");
+    let waited = driver.times(is_assign)[0].saturating_sub(fenced);
+    let wait = ms(wait);
+    assert!(waited >= wait && waited <= wait + ms(30), "{waited:?}");
+    assert!(driver.state().node(lost).is_none(), "not removed");
+    let owned = driver
+        .state()
+        .shards(POOL)
+        .filter(|grant| grant.owner.is_some());
+    assert_eq!(owned.count(), 16);
+}
+
+// The new leader cannot know when the fence was committed, so a wait that went
+// on from the old leader's time could end while the lease is valid.
+#[test]
+fn a_new_leader_starts_the_wait_again() {
+    let (mut driver, _) = lossy(true, &[]);
+    while driver.times(is_fence).is_empty() {
+        driver.run(ms(10));
+    }
+    driver.run(ms(300));
+    let lead = driver.now;
+    driver.event(Event::Lead);
+    driver.run(ms(1_000));
+    let assigned = driver.times(is_assign)[0];
+    assert!(assigned >= lead + ms(408), "{lead:?} {assigned:?}");
+}
+
+// A leader that is cut off or was paused sees everybody silent. Fencing all
+// nodes would stop every pool.
+#[rstest]
+#[case::minority(5, 2, 0, 1_000, 2)]
+#[case::half(4, 2, 0, 1_000, 2)]
+#[case::majority(5, 3, 0, 2_500, 0)]
+#[case::majority_for_long(5, 3, 0, 4_000, 3)]
+#[case::majority_becomes_minority(5, 3, 1, 2_500, 2)]
+#[case::only_node(1, 1, 0, 2_500, 0)]
+fn more_than_half_of_the_nodes_are_not_fenced_at_once(
+    #[case] count: usize,
+    #[case] silent: usize,
+    #[case] returning: usize,
+    #[case] time: u64,
+    #[case] fenced: usize,
+) {
+    let (mut driver, nodes) = Driver::started(16, &vec![12; count]);
+    driver.silent.extend(&nodes[..silent]);
+    driver.run(ms(1_000));
+    for node in &nodes[..returning] {
+        driver.silent.remove(node);
+    }
+    driver.run(ms(time - 1_000));
+    assert_eq!(driver.times(is_fence).len(), fenced);
+}
+
+// A process learns its id only when its join is committed and delivered.
+#[test]
+fn a_process_that_has_just_joined_has_time_to_renew() {
+    let (mut driver, _) = Driver::started(16, &[12; 3]);
+    let joined = driver.cluster.join("Bangor");
+    driver.silent.insert(joined);
+    driver.run(ms(2_500));
+    assert!(driver.state().node(joined).is_some());
+    driver.run(ms(1_500));
+    assert!(driver.state().node(joined).is_none());
+}
+
+// A proposal repeated at every tick would fill the log while the commit is slow.
+#[test]
+fn a_proposal_in_flight_is_not_repeated_before_500_ms() {
+    let (mut driver, nodes) = Driver::started(16, &[12; 4]);
+    driver.delay = None;
+    driver.proposals.clear();
+    driver.silent.insert(nodes[0]);
+    driver.apply(Command::Drain { node: nodes[1] });
+    driver.run(ms(1_700));
+    let shards = driver.held(nodes[1]) as usize;
+    let count = |wanted: fn(&Command) -> bool| {
+        let proposals = driver.proposals.iter();
+        proposals.filter(|(_, command)| wanted(command)).count()
+    };
+    // At 0.35, 0.85 and 1.35 s, and at 0, 0.5, 1 and 1.5 s.
+    assert_eq!(count(is_fence), 3);
+    assert_eq!(
+        count(|command| matches!(command, Command::Transfer { .. })),
+        4 * shards
+    );
+}
+
+// Leaders change, nodes fall silent and return, drain and join at random. No
+// shard may be assigned while the lease of its owner can be valid: that is
+// until 400 ms after the last renewal that was sent before the fence.
+#[test]
+fn no_shard_is_assigned_while_a_lease_is_valid() {
+    let mut assigned = 0;
+    for seed in 0..60 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let (mut driver, _) = Driver::started(16, &[12; 5]);
+        for _ in 0..60 {
+            let nodes: Vec<_> = driver.state().nodes().collect();
+            let node = nodes
+                .get(random.random_range(0..=nodes.len()))
+                .map(|own| own.node());
+            match (random.random_range(0..8), node) {
+                (0..3, Some(node)) => drop(driver.silent.insert(node)),
+                (3, Some(node)) => drop(driver.silent.remove(&node)),
+                (4, Some(node)) => driver.apply(Command::Drain { node }),
+                (5, _) => driver.event(Event::Lead),
+                (6, Some(node)) => driver.event(Event::Refused { node }),
+                _ => drop(driver.cluster.ready(POOL, "Bangor")),
+            }
+            driver.run(ms(random.random_range(50..900)));
+        }
+        assigned += driver.seized.len();
+        for (at, owner) in &driver.seized {
+            let lease = driver.renewals.get(owner).map(|sent| *sent + ms(400));
+            assert!(
+                lease.is_none_or(|end| *at >= end),
+                "seed {seed}: {owner} at {at:?}"
+            );
+        }
+    }
+    assert!(assigned > 500, "only {assigned} assignments were checked");
+}
