Serve the whole path: caller, any node, owner, target

The planner assigns shards, so a cluster of three hosts serves. tests/path.rs sends reads and a booking through every node: all answer 200, the booking ran once and its resends got the first answer.

--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,117 @@
+//! The whole path: any node, the owner's node, the target, and the rules.
+
+#[path = "../examples/support/mod.rs"]
+mod support;
+
+use std::time::Duration;
+
+use support::{
+    cluster::{Cluster, Host},
+    target::Config,
+};
+
+const RULES: &str = "\
+llewellyn catalogue GET /designs/{key} repeat deadline=2s length=short weight=1 # Megan
+llewellyn bookings POST /bookings/{key} once deadline=5s length=learned weight=1 # Megan
+";
+
+fn host(name: &str, data_centre: &str, pool: &str) -> Host {
+    Host {
+        name: name.to_owned(),
+        data_centre: data_centre.to_owned(),
+        target: Some(Config {
+            pool: pool.to_owned(),
+            slots: 12,
+            connections: 110,
+            fencing: true,
+            service: Duration::from_millis(2),
+        }),
+    }
+}
+
+async fn cluster(data: &std::path::Path) -> Cluster {
+    let hosts = [
+        host("caerdydd-1", "caerdydd", "catalogue"),
+        host("abertawe-1", "abertawe", "bookings"),
+        host("bangor-1", "bangor", "bookings"),
+    ];
+    let cluster = Cluster::start(&hosts, 3, 3, "", data).await.unwrap();
+    cluster.ready(Duration::from_secs(20)).await.unwrap();
+    let version = cluster.apply("c0ffee", RULES).await.unwrap();
+    cluster
+        .in_force(version, Duration::from_secs(5))
+        .await
+        .unwrap();
+    cluster
+}
+
+/// Guards against a request that only some nodes can serve, and against a
+/// resend that runs again at another node.
+#[tokio::test(flavor = "multi_thread")]
+async fn any_node_serves_any_key_and_a_resend_gets_the_first_answer() {
+    let data = tempfile::tempdir().unwrap();
+    let cluster = cluster(data.path()).await;
+    let key = [("idempotency-key", "b-1")];
+
+    let mut bodies = Vec::new();
+    for host in &cluster.hosts {
+        let read = cluster
+            .client
+            .send(host.caller, "GET", "/designs/d-1", &[], "");
+        let read = read.await.unwrap();
+        assert_eq!((read.status.as_u16(), read.outcome()), (200, "done"));
+        let booking = cluster
+            .client
+            .send(host.caller, "POST", "/bookings/m-1", &key, "x");
+        let booking = booking.await.unwrap();
+        assert_eq!((booking.status.as_u16(), booking.outcome()), (200, "done"));
+        bodies.push(booking.text());
+    }
+
+    assert!(bodies.iter().all(|body| *body == bodies[0]), "{bodies:?}");
+    let ran: usize = cluster
+        .hosts
+        .iter()
+        .filter_map(|host| host.target.as_ref())
+        .flat_map(|target| target.executions())
+        .filter(|execution| execution.idempotency_key.is_some())
+        .count();
+    assert_eq!(ran, 1);
+}
+
+/// Method, path, headers, and the expected status and reason.
+type Case<'a> = (&'a str, &'a str, &'a [(&'a str, &'a str)], u16, &'a str);
+
+/// Guards against refusals that do not say whether the work ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_names_its_outcome_and_reason() {
+    let data = tempfile::tempdir().unwrap();
+    let cluster = cluster(data.path()).await;
+    let caller = cluster.hosts[0].caller;
+    let cases: [Case; 4] = [
+        ("GET", "/nothing", &[], 404, "no-rule"),
+        ("DELETE", "/designs/d-1", &[], 404, "no-rule"),
+        (
+            "POST",
+            "/bookings/m-1",
+            &[],
+            400,
+            "idempotency-key-required",
+        ),
+        (
+            "GET",
+            "/designs/d-1",
+            &[("wg-deadline-ms", "soon")],
+            400,
+            "bad-request",
+        ),
+    ];
+
+    for (method, path, headers, status, reason) in cases {
+        let answer = cluster.client.send(caller, method, path, headers, "");
+        let answer = answer.await.unwrap();
+        assert_eq!(answer.status.as_u16(), status, "{method} {path}");
+        assert_eq!(answer.outcome(), "not-run", "{method} {path}");
+        assert_eq!(answer.json()["reason"], reason, "{method} {path}");
+    }
+}
--- a/wisteriaglade-control/tests/duties.rs
+++ b/wisteriaglade-control/tests/duties.rs
@@ -335,6 +335,7 @@
         pool: POOL.into(),
         shard: owner.shard,
         epoch: owner.epoch,
+        base: base.clone(),
         holders,
     });
     let mut wanted = replacement(driver.state(), POOL, owner.shard).unwrap();
--- a/wisteriaglade-node/src/admin/document.rs
+++ b/wisteriaglade-node/src/admin/document.rs
@@ -1,5 +1,11 @@
 //! The JSON documents of the admin listener.
 
+#![allow(
+    clippy::struct_field_names,
+    clippy::struct_excessive_bools,
+    reason = "the fields are the names in the JSON documents"
+)]
+
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use schemars::JsonSchema;
--- a/wisteriaglade-node/src/admission.rs
+++ b/wisteriaglade-node/src/admission.rs
@@ -158,7 +158,7 @@
         let trusted = !inner.suspect;
         inner.router.step(now, event, &mut effects);
         for effect in effects {
-            inner.execute(effect);
+            inner.execute(&effect);
         }
         let after = inner.router.wake();
         if trusted && inner.suspect {
@@ -172,8 +172,8 @@
 }
 
 impl Inner {
-    fn execute(&mut self, effect: Effect) {
-        match effect {
+    fn execute(&mut self, effect: &Effect) {
+        match *effect {
             Effect::Dispatch { request, class } => {
                 if let Some(waiting) = self.waiting.remove(&request) {
                     // A receiver that is gone reports its end by its ticket.
--- a/wisteriaglade-node/src/context.rs
+++ b/wisteriaglade-node/src/context.rs
@@ -135,7 +135,9 @@
         let metrics = &self.metrics;
         let held = self.node().map_or(0, |node| {
             let view = read(&self.view);
-            view.state.node(node).map_or(0, |process| process.held())
+            view.state
+                .node(node)
+                .map_or(0, wisteriaglade_control::Process::held)
         });
         metrics.shards.set(i64::from(held));
         metrics.lease.set(i64::from(self.holds_lease()));
--- a/wisteriaglade-node/src/ingress.rs
+++ b/wisteriaglade-node/src/ingress.rs
@@ -60,7 +60,7 @@
     );
     trace::adopt(&span, request.headers());
     let outcome = answer(&context, request, address).instrument(span).await;
-    let elapsed = context.clock.now() - start;
+    let elapsed = context.clock.now().saturating_sub(start);
     match outcome {
         Ok((member, response)) => {
             context.metrics.answered(&member, Outcome::Done, elapsed);
--- a/wisteriaglade-node/src/peer.rs
+++ b/wisteriaglade-node/src/peer.rs
@@ -26,7 +26,7 @@
 
 /// How long a connection may be unused. It exceeds the time after which the
 /// other side stops using it.
-const IDLE: Duration = Duration::from_secs(60);
+const IDLE: Duration = Duration::from_mins(1);
 
 /// Messages that are read ahead of their handling.
 const AHEAD: usize = 16;
--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -210,8 +210,7 @@
     /// Carries out outputs in order. After a failed write the rest is dropped,
     /// since it may promise what is not on disk.
     fn execute(&mut self, outputs: Vec<Output>) {
-        let mut outputs = outputs.into_iter();
-        while let Some(output) = outputs.next() {
+        for output in outputs {
             match output {
                 Output::Persist(change) => {
                     if let Err(error) = self.storage.persist(&change) {
--- a/wisteriaglade-node/src/session.rs
+++ b/wisteriaglade-node/src/session.rs
@@ -85,7 +85,7 @@
     }
     view.state
         .node(node)
-        .is_none_or(|process| process.is_fenced())
+        .is_none_or(wisteriaglade_control::Process::is_fenced)
 }
 
 /// Makes the control state agree with what the target announced.
--- a/wisteriaglade-node/src/settings/timing.rs
+++ b/wisteriaglade-node/src/settings/timing.rs
@@ -50,7 +50,7 @@
             connect: Duration::from_millis(250),
             accept: Duration::from_millis(250),
             silence: Duration::from_secs(1),
-            shutdown: Duration::from_secs(60),
+            shutdown: Duration::from_mins(1),
         }
     }
 }
--- a/wisteriaglade-node/src/target.rs
+++ b/wisteriaglade-node/src/target.rs
@@ -12,7 +12,7 @@
 use crate::body::Body;
 
 /// How long an unused connection to the target is kept.
-const IDLE: Duration = Duration::from_secs(60);
+const IDLE: Duration = Duration::from_mins(1);
 
 /// The time after which bytes that the target's host has not acknowledged end
 /// the connection.
