--- a/examples/support/cluster.rs
+++ b/examples/support/cluster.rs
@@ -67,6 +67,41 @@
         Ok(cluster)
     }
 
+    /// Starts every host of a folder with settings files, and the sample
+    /// targets that its `targets.txt` lists.
+    pub async fn from_folder(folder: &Path, data: &Path) -> Result<Self, Error> {
+        let mut running = Vec::new();
+        for line in std::fs::read_to_string(folder.join("targets.txt"))?.lines() {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let [name, pool, slots, connections] = words[..] else {
+                continue;
+            };
+            if name == "#" {
+                continue;
+            }
+            let path = folder.join(format!("{name}.yaml"));
+            let mut settings = Settings::read(&path)?;
+            "warn".clone_into(&mut settings.log);
+            if let Some(replica) = &mut settings.replica {
+                replica.data = data.join(name);
+            }
+            let config = Config {
+                pool: pool.to_owned(),
+                slots: slots.parse()?,
+                connections: connections.parse()?,
+                fencing: true,
+                service: Duration::from_millis(5),
+            };
+            running.push(start(name, settings, Some(config)).await?);
+        }
+        let cluster = Self {
+            hosts: running,
+            client: Client::new(),
+        };
+        cluster.announce().await?;
+        Ok(cluster)
+    }
+
     /// Announces every target to the node beside it.
     async fn announce(&self) -> Result<(), Error> {
         for host in &self.hosts {
@@ -209,14 +244,18 @@
 
 async fn launch(host: &Host, text: &str) -> Result<Running, Error> {
     let settings = Settings::parse(&host.name, text)?;
+    start(&host.name, settings, host.target.clone()).await
+}
+
+async fn start(name: &str, settings: Settings, config: Option<Config>) -> Result<Running, Error> {
     let daemon = Daemon::start(settings).await?;
-    let target = match &host.target {
-        Some(config) => Some(Target::start(config.clone()).await?),
+    let target = match config {
+        Some(config) => Some(Target::start(config).await?),
         None => None,
     };
     let stop = CancellationToken::new();
     let running = Running {
-        name: host.name.clone(),
+        name: name.to_owned(),
         caller: daemon.caller(),
         admin: daemon.admin(),
         target,
