Add retry budgets and the health of peers

Retries must not multiply an overload, so each member may retry a tenth of its recent requests and a small constant. A silent connection says nothing about the node behind it, so the ingress side first opens a new connection and avoids the node only after three attempts without an answer.

--- /dev/null
+++ b/wisteriaglade-router/tests/budgets.rs
@@ -0,0 +1,69 @@
+//! Retry budgets and the health of peers.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use wisteriaglade_router::{
+    peer::{self, Health, Outcome, Path},
+    retry::{self, Budget},
+};
+use wisteriaglade_types::{Name, Node};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Guards against retries that multiply an overload: of one retry wish for
+/// each request, at most 10% and the constant are granted.
+#[rstest]
+#[case::no_requests(0, 3)]
+#[case::few(20, 2 + 3)]
+#[case::many(1000, 100 + 3)]
+fn retries_stay_a_tenth_of_the_requests(#[case] requests: usize, #[case] granted: usize) {
+    let mut budget = Budget::new(retry::Config::default());
+    let member = Name::from("a");
+
+    for _ in 0..requests {
+        budget.request(MS, &member);
+    }
+
+    let retries = (0..2000).filter(|_| budget.retry(MS, &member)).count();
+    assert_eq!(retries, granted);
+}
+
+/// Guards against requests of long ago that pay for a storm of retries, and
+/// against a member that spends the budget of another.
+#[test]
+fn budgets_fade_and_are_separate() {
+    let mut budget = Budget::new(retry::Config::default());
+    let [a, b] = ["a", "b"].map(Name::from);
+    for _ in 0..1000 {
+        budget.request(MS, &a);
+    }
+
+    let other = (0..100).filter(|_| budget.retry(MS, &b)).count();
+    let later = (0..100).filter(|_| budget.retry(60_000 * MS, &a)).count();
+
+    assert_eq!(other, 3);
+    assert_eq!(later, 1 + 3, "100 tokens fade to 1.6 in six half-lives");
+}
+
+/// Guards against the reuse of pooled connections after one went silent, and
+/// against a node that is avoided for ever.
+#[test]
+fn a_silent_connection_leads_to_a_fresh_one_first() {
+    let mut health = Health::new(peer::Config::default());
+    let node = Node::new(7);
+
+    let mut paths = vec![health.path(MS, node)];
+    for outcome in [Outcome::Silent, Outcome::Silent, Outcome::Failed] {
+        health.record(MS, node, outcome);
+        paths.push(health.path(MS, node));
+    }
+    let trials = [300 * MS, 301 * MS, 600 * MS].map(|now| health.path(now, node));
+    health.record(600 * MS, node, Outcome::Refused);
+
+    assert_eq!(paths, [Path::Pooled, Path::Fresh, Path::Fresh, Path::Avoid]);
+    assert_eq!(trials, [Path::Fresh, Path::Avoid, Path::Fresh]);
+    assert_eq!(health.path(600 * MS, node), Path::Pooled);
+    assert_eq!(health.counts(node).silent, 2);
+    assert_eq!(health.path(MS, Node::new(8)), Path::Pooled);
+}
