--- a/wisteriaglade-router/src/capacity.rs
+++ b/wisteriaglade-router/src/capacity.rs
@@ -18,4 +18,13 @@
     pub(crate) fn slots(&self) -> u32 {
         self.slots.clamp(1, self.connections.max(1))
     }
+
+    /// The highest concurrency that the router ever tries: twice the slots,
+    /// bounded by the connections.
+    pub(crate) fn ceiling(&self) -> u32 {
+        self.slots
+            .max(1)
+            .saturating_mul(2)
+            .min(self.connections.max(1))
+    }
 }
--- a/wisteriaglade-router/src/event.rs
+++ b/wisteriaglade-router/src/event.rs
@@ -23,7 +23,9 @@
     },
     /// The target reported its load.
     Report(Report),
-    /// The target announced itself, or is gone.
+    /// The target announced itself, or is gone. A repeated announcement of the
+    /// same capacity changes nothing. When the target is gone, waiting work is
+    /// refused; the driver ends the running work.
     Target(Option<Capacity>),
     /// The target is leaving. Work is dispatched for a short grace period
     /// ([`Config::grace`](crate::Config::grace)) and refused afterwards, until
--- a/wisteriaglade-router/src/job.rs
+++ b/wisteriaglade-router/src/job.rs
@@ -13,5 +13,7 @@
     pub(crate) started: Duration,
     /// The busy time that was charged to the member so far.
     pub(crate) charged: Duration,
+    /// Requests that ran when this one was dispatched, itself included.
+    pub(crate) concurrency: u32,
     pub(crate) cancelled: bool,
 }
--- a/wisteriaglade-router/src/lengths.rs
+++ b/wisteriaglade-router/src/lengths.rs
@@ -15,17 +15,27 @@
 /// Routes with a learned fraction of long work.
 const ROUTES: usize = 1024;
 
-/// The weight of a new observation of a route.
+/// The least weight of a new observation of a route. The first observations
+/// weigh more: each long request that is taken for short before the route is
+/// known holds a slot of short work.
 const GAIN: f64 = 0.05;
 
+/// What is known about a route with learned lengths.
+#[derive(Debug, Default)]
+struct Route {
+    /// The fraction of long work.
+    long: f64,
+    /// The weight of the observations, at most the inverse of [`GAIN`].
+    weight: f64,
+}
+
 /// Learns how long short work, long work, and work by route and key takes.
 #[derive(Debug)]
 pub(crate) struct Lengths {
     short: Window,
     long: Window,
     sketch: Sketch,
-    /// The fraction of long work for each route with learned lengths.
-    routes: BTreeMap<u32, f64>,
+    routes: BTreeMap<u32, Route>,
 }
 
 impl Lengths {
@@ -46,7 +56,10 @@
             Length::Long => true,
             Length::Learned => match self.sketch.estimate(arrival.route, arrival.key) {
                 Some(mean) => self.threshold().is_some_and(|limit| mean >= limit),
-                None => self.routes.get(&arrival.route).is_some_and(|f| *f > 0.5),
+                None => self
+                    .routes
+                    .get(&arrival.route)
+                    .is_some_and(|r| r.long > 0.5),
             },
         };
         if long { Class::Long } else { Class::Short }
@@ -61,6 +74,11 @@
         }
     }
 
+    /// The longest recent service time of long work.
+    pub(crate) fn longest(&self) -> Duration {
+        self.long.longest()
+    }
+
     /// The estimated service time of short work.
     pub(crate) const fn service(&self) -> Option<Duration> {
         self.short.mean()
@@ -82,30 +100,45 @@
         if job.class == Class::Long {
             self.long.push(busy);
         }
-        self.learn(&job.waiting.arrival, busy);
+        self.learn(job, busy);
+    }
+
+    /// Records that short work has run for so long that it counts as long now.
+    /// Other requests of the key must not wait for its end to be recognized.
+    pub(crate) fn observe_late(&mut self, arrival: &Arrival, busy: Duration) {
+        if arrival.length == Length::Learned {
+            self.sketch.observe(arrival.route, arrival.key, busy);
+            self.learn_route(arrival.route, 1.0);
+        }
     }
 
     /// Records the busy time of a request that was cancelled. It is a lower
     /// bound and says something only when it is long.
     pub(crate) fn observe_cancelled(&mut self, job: &Job, busy: Duration) {
         if self.threshold().is_some_and(|limit| busy >= limit) {
-            self.learn(&job.waiting.arrival, busy);
+            self.learn(job, busy);
         }
     }
 
-    fn learn(&mut self, arrival: &Arrival, busy: Duration) {
+    fn learn(&mut self, job: &Job, busy: Duration) {
+        let arrival = &job.waiting.arrival;
         if arrival.length != Length::Learned {
             return;
         }
         self.sketch.observe(arrival.route, arrival.key, busy);
-        let Some(limit) = self.threshold() else {
+        let reclassified = job.class != job.waiting.class;
+        if let Some(limit) = self.threshold().filter(|_| !reclassified) {
+            let long = if busy >= limit { 1.0 } else { 0.0 };
+            self.learn_route(arrival.route, long);
+        }
+    }
+
+    fn learn_route(&mut self, route: u32, long: f64) {
+        if self.routes.len() >= ROUTES && !self.routes.contains_key(&route) {
             return;
-        };
-        let sample = if busy >= limit { 1.0 } else { 0.0 };
-        if let Some(fraction) = self.routes.get_mut(&arrival.route) {
-            *fraction += GAIN * (sample - *fraction);
-        } else if self.routes.len() < ROUTES {
-            self.routes.insert(arrival.route, GAIN * sample);
         }
+        let route = self.routes.entry(route).or_default();
+        route.weight = (route.weight + 1.0).min(1.0 / GAIN);
+        route.long += (long - route.long) / route.weight;
     }
 }
--- a/wisteriaglade-router/src/lib.rs
+++ b/wisteriaglade-router/src/lib.rs
@@ -39,6 +39,7 @@
 //! ```
 
 mod arrival;
+mod brake;
 mod capacity;
 mod class;
 mod config;
@@ -47,9 +48,11 @@
 mod finish;
 mod flow;
 mod job;
+mod knee;
 mod ledger;
 mod length;
 mod lengths;
+mod level;
 mod limit;
 pub mod peer;
 mod policy;
@@ -62,9 +65,13 @@
 mod sketch;
 mod standing;
 mod summary;
+mod target;
 mod tenant;
+mod trust;
 mod usage;
 mod waiting;
+mod warm;
+mod watch;
 mod window;
 
 pub use crate::{
--- a/wisteriaglade-router/src/queue.rs
+++ b/wisteriaglade-router/src/queue.rs
@@ -92,7 +92,7 @@
 
     /// Adds a request. A member or caller that was idle starts at the present
     /// virtual time, so it has collected no credit.
-    pub(crate) fn push(&mut self, waiting: Waiting) {
+    pub(crate) fn push(&mut self, mut waiting: Waiting) {
         let (member, caller) = self.names(&waiting);
         let weight = waiting.arrival.weight.max(1);
         let clock = self.clock;
@@ -105,6 +105,8 @@
             tenant.tag = tenant.tag.max(clock);
         }
         let caller = tenant.flow(&caller, self.callers);
+        // The charge at the end goes to the same queue.
+        waiting.arrival.caller = caller.clone();
         let flow = tenant.flows.entry(caller.clone()).or_default();
         if flow.is_empty() {
             flow.tag = flow.tag.max(tenant.clock);
--- a/wisteriaglade-router/src/router.rs
+++ b/wisteriaglade-router/src/router.rs
@@ -5,9 +5,9 @@
 use wisteriaglade_types::{Name, Request};
 
 use crate::{
-    Arrival, Capacity, Class, Config, Effect, Event, Finish, Policy, Reason, Summary, Usage,
-    job::Job, ledger::Ledger, lengths::Lengths, limit::Limit, queue::Queue, running::Running,
-    standing::Standing, waiting::Waiting,
+    Arrival, Capacity, Class, Config, Effect, Event, Finish, Policy, Reason, Report, Summary,
+    Usage, job::Job, ledger::Ledger, lengths::Lengths, queue::Queue, running::Running,
+    standing::Standing, target::Target, waiting::Waiting,
 };
 
 /// The retry-after time of refusals whose cause ends within moments: a move of
@@ -27,8 +27,7 @@
 pub struct Router {
     config: Config,
     now: Duration,
-    capacity: Option<Capacity>,
-    limit: Option<Limit>,
+    target: Option<Target>,
     queue: Queue,
     running: Running,
     lengths: Lengths,
@@ -45,8 +44,7 @@
         let fair = config.policy == Policy::Adaptive;
         Self {
             now: Duration::ZERO,
-            capacity: None,
-            limit: None,
+            target: None,
             queue: Queue::new(fair, config.callers),
             running: Running::default(),
             lengths: Lengths::new(),
@@ -67,32 +65,36 @@
         self.now = now;
         match event {
             Event::Arrive(arrival) => self.arrive(now, arrival, effects),
-            Event::Finish { request, result } => self.finish(now, request, result),
+            Event::Finish { request, result } => self.finish(now, request, result, effects),
             Event::Depart { request } => self.depart(request, effects),
-            Event::Report(_) | Event::Tick => {}
+            Event::Report(report) => self.report(now, report),
+            Event::Tick => {}
             Event::Target(capacity) => self.announce(now, capacity, effects),
             Event::Drain => self.draining = self.draining.or(Some(now)),
         }
         self.expire(now, effects);
         if self.adaptive() {
-            if let Some(limit) = self.lengths.threshold() {
-                self.running.reclassify(now, limit);
-            }
+            self.reclassify(now);
             self.standing.update(now, self.queue.oldest());
+            self.watch(now, effects);
         }
         self.dispatch(now, effects);
+        self.warm(now, effects);
     }
 
     /// When the next [`Event::Tick`] is due, if no other event comes first.
     #[must_use]
     pub fn wake(&self) -> Option<Duration> {
+        let queued = self.queue.len() > 0;
+        let target = self.target.as_ref();
         let times = [
             self.queue.next_expiry(),
             self.running.next_deadline(),
             self.next_reclassify(),
             self.draining
-                .filter(|_| self.queue.len() > 0)
+                .filter(|_| queued)
                 .map(|at| at + self.config.grace),
+            target.and_then(|t| t.next(self.now, &self.running, &self.lengths, queued)),
         ];
         times.into_iter().flatten().min()
     }
@@ -109,7 +111,7 @@
             limit_long: self.long_limit(self.now),
             service: self.lengths.service(),
             standing: self.standing.get(self.now),
-            suspect: false,
+            suspect: self.target.as_ref().is_some_and(Target::suspect),
         }
     }
 
@@ -139,11 +141,8 @@
             expected,
             arrival,
         };
-        if self.capacity.is_none() {
-            return self.refuse(&waiting, Reason::Absent, Some(SOON), effects);
-        }
-        if self.left(now) {
-            return self.refuse(&waiting, Reason::Draining, Some(SOON), effects);
+        if let Some(reason) = self.closed(now) {
+            return self.refuse(&waiting, reason, Some(SOON), effects);
         }
         let admitted = if self.adaptive() {
             self.fit(now, &waiting, effects) && self.make_room(now, &waiting, effects)
@@ -158,6 +157,20 @@
         }
     }
 
+    /// Why no request is admitted at all.
+    fn closed(&self, now: Duration) -> Option<Reason> {
+        let Some(target) = &self.target else {
+            return Some(Reason::Absent);
+        };
+        if self.left(now) {
+            return Some(Reason::Draining);
+        }
+        // A suspected target gets one request at a time as a trial.
+        let free = self.queue.len() == 0 && self.running.total() < self.limit(now);
+        let trial = free && target.try_now(now);
+        (target.suspect() && !trial).then_some(Reason::Unresponsive)
+    }
+
     /// Refuses a request whose expected wait does not fit its deadline. In a
     /// standing queue only half of the time may be spent waiting, and the
     /// oldest request of the same caller gives way to the new one.
@@ -215,6 +228,10 @@
     fn expected_wait(&self, now: Duration, waiting: &Waiting) -> Duration {
         let class = waiting.class;
         let limit = self.limit(now);
+        let pause = self
+            .target
+            .as_ref()
+            .map_or(Duration::ZERO, |t| t.pause(now));
         let slots = match class {
             Class::Short => limit.saturating_sub(self.running.count(Class::Long)),
             Class::Long => self.long_limit(now),
@@ -228,10 +245,16 @@
             .queue
             .ahead(&arrival.member, &arrival.caller, arrival.weight, class);
         let ahead = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        waiting.expected.saturating_mul(ahead) / slots.max(1)
+        pause + waiting.expected.saturating_mul(ahead) / slots.max(1)
     }
 
-    fn finish(&mut self, now: Duration, request: Request, result: Finish) {
+    fn finish(
+        &mut self,
+        now: Duration,
+        request: Request,
+        result: Finish,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(job) = self.running.remove(request) else {
             return;
         };
@@ -250,6 +273,14 @@
             Finish::Shed { .. } | Finish::Failed => {}
         }
         self.queue.charge(&job.waiting, job.charged, busy);
+        let binding = self.queue.waiting(Class::Short) > 0;
+        let (lengths, running) = (&self.lengths, &self.running);
+        let target = self.target.as_mut();
+        let recovered =
+            target.is_some_and(|t| t.ended(now, &job, result, lengths, running, binding));
+        if recovered {
+            effects.push(Effect::Recovered);
+        }
     }
 
     fn depart(&mut self, request: Request, effects: &mut Vec<Effect>) {
@@ -264,13 +295,60 @@
         }
     }
 
+    fn report(&mut self, now: Duration, report: Report) {
+        let running = self.running.total();
+        if let Some(target) = self.target.as_mut().filter(|t| t.adaptive()) {
+            target.report(now, report, running);
+        }
+    }
+
     fn announce(&mut self, now: Duration, capacity: Option<Capacity>, effects: &mut Vec<Effect>) {
-        if capacity.is_none() {
+        let Some(capacity) = capacity else {
             self.draining = None;
-            self.refuse_all(Reason::Absent, Some(SOON), effects);
+            self.target = None;
+            return self.refuse_all(Reason::Absent, Some(SOON), effects);
+        };
+        if let Some(target) = &self.target {
+            if target.suspect() {
+                effects.push(Effect::Recovered);
+            } else if *target.capacity() == capacity {
+                // A repeated announcement must not discard what was learned.
+                return;
+            }
+        }
+        self.target = Some(Target::new(now, capacity, &self.config));
+    }
+
+    /// Takes a target that does not respond out of service.
+    fn watch(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let target = self.target.as_mut();
+        if target.is_some_and(|t| t.check(now, &self.running, &self.lengths)) {
+            effects.push(Effect::Suspect);
+            self.refuse_all(Reason::Unresponsive, Some(SOON), effects);
+        }
+    }
+
+    fn warm(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let demand = self.running.total() as usize + self.queue.len();
+        let target = self.target.as_mut();
+        if let Some(connections) = target.and_then(|t| t.warm(now, demand)) {
+            effects.push(Effect::Warm { connections });
+        }
+    }
+
+    /// Counts short work that runs for too long as long work.
+    fn reclassify(&mut self, now: Duration) {
+        let Some(limit) = self.lengths.threshold() else {
+            return;
+        };
+        let long = self.lengths.expected(Class::Long);
+        for request in self.running.reclassify(now, limit) {
+            if let Some(job) = self.running.get_mut(request) {
+                self.lengths.observe_late(&job.waiting.arrival, limit);
+                self.queue.charge(&job.waiting, job.charged, long);
+                job.charged = long;
+            }
         }
-        self.capacity = capacity;
-        self.limit = capacity.map(|capacity| Limit::new(&capacity, now));
     }
 
     /// Refuses waiting work and cancels running work that is out of time.
@@ -318,9 +396,14 @@
             class,
             started: now,
             charged: cost[class.index()],
+            concurrency: self.running.total() + 1,
             cancelled: false,
             waiting,
         });
+        let running = self.running.total();
+        if let Some(target) = &mut self.target {
+            target.dispatched(now, running);
+        }
         effects.push(Effect::Dispatch { request, class });
     }
 
@@ -357,20 +440,16 @@
     }
 
     fn limit(&self, now: Duration) -> u32 {
-        self.limit.as_ref().map_or(0, |limit| limit.get(now))
+        let long = self.running.count(Class::Long);
+        let target = self.target.as_ref();
+        target.map_or(0, |target| target.limit(now, long))
     }
 
-    /// The most long requests that run at once. Short work keeps half of the
-    /// slots, and half of the rest as well while it queues; one long request
-    /// can always run.
     fn long_limit(&self, now: Duration) -> u32 {
-        let limit = self.limit(now);
-        let Some(capacity) = self.capacity.filter(|_| self.adaptive()) else {
-            return limit;
-        };
-        let most = limit.min(capacity.slots()) / 2;
         let queued = self.queue.waiting(Class::Short) > 0;
-        (if queued { most / 2 } else { most }).max(1)
+        let long = self.running.count(Class::Long);
+        let target = self.target.as_ref();
+        target.map_or(0, |target| target.long_limit(now, long, queued))
     }
 
     fn long_allowed(&self, now: Duration) -> bool {
--- a/wisteriaglade-router/src/running.rs
+++ b/wisteriaglade-router/src/running.rs
@@ -42,6 +42,10 @@
         self.count[class.index()]
     }
 
+    pub(crate) fn jobs(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values()
+    }
+
     /// Marks and returns the requests whose deadline passed.
     pub(crate) fn overdue(&mut self, now: Duration) -> Vec<Request> {
         let late = self
@@ -55,15 +59,23 @@
         .collect()
     }
 
-    /// Counts short work that has run for `limit` as long work from now on.
-    pub(crate) fn reclassify(&mut self, now: Duration, limit: Duration) {
-        for job in self.jobs.values_mut() {
-            if job.class == Class::Short && now.saturating_sub(job.started) >= limit {
-                job.class = Class::Long;
-                self.count[Class::Short.index()] -= 1;
-                self.count[Class::Long.index()] += 1;
-            }
+    /// Counts short work that has run for `limit` as long work from now on,
+    /// and returns it.
+    pub(crate) fn reclassify(&mut self, now: Duration, limit: Duration) -> Vec<Request> {
+        let late = self
+            .jobs
+            .values_mut()
+            .filter(|job| job.class == Class::Short && now.saturating_sub(job.started) >= limit);
+        let late = late.map(|job| {
+            job.class = Class::Long;
+            job.waiting.request()
+        });
+        let late = late.collect::<Vec<_>>();
+        for _ in &late {
+            self.count[Class::Short.index()] -= 1;
+            self.count[Class::Long.index()] += 1;
         }
+        late
     }
 
     /// The earliest deadline of work that was not cancelled.
--- a/wisteriaglade-router/src/window.rs
+++ b/wisteriaglade-router/src/window.rs
@@ -39,6 +39,10 @@
         self.sorted.get(self.sorted.len() / 2).copied()
     }
 
+    pub(crate) fn longest(&self) -> Duration {
+        self.sorted.last().copied().unwrap_or_default()
+    }
+
     /// The mean without outliers.
     pub(crate) const fn mean(&self) -> Option<Duration> {
         if self.sorted.is_empty() {
