Test owners and holders over an unreliable network

Hosts, their network and a model of the control log run from a seed, with lost, repeated and late messages, pauses, lost and replaced holders, changes of owner and dedicated shards. Two owners of a shard may be active at once.

The runs found and this commit fixes: a withdrawal under way hid the start of another owner when the shard came back, so the key ran twice (seed 304 of the scenario 'owners'); the place of a running request was taken from a settled entry with the same request, so its end was ignored (seed 16 of 'split'); and a replacement could not be cancelled.

--- a/wisteriaglade-once/src/owner/event.rs
+++ b/wisteriaglade-once/src/owner/event.rs
@@ -35,7 +35,9 @@
         /// The shard.
         shard: Shard,
     },
-    /// Another set of holders is to take the place of the present one.
+    /// Another set of holders is to take the place of the present one. The present
+    /// set cancels a replacement; one that was proposed may still take effect. A set
+    /// that the shard had before in the same epoch is ignored.
     Replace {
         /// The pool.
         pool: Name,
--- a/wisteriaglade-once/src/owner/grant.rs
+++ b/wisteriaglade-once/src/owner/grant.rs
@@ -147,6 +147,9 @@
             self.resync(node);
         }
         self.flush_all(cx);
+        for key in self.active.clone() {
+            self.advance(cx, &key);
+        }
     }
 
     pub(super) fn tick(&mut self, cx: &mut Context<'_>) {
@@ -203,8 +206,10 @@
             entry.change(State::Aborted, Stage::Settled);
             entry.expires = cx.now + cx.config.tombstone;
         }
+        // The request of a settled entry may have begun anew elsewhere.
+        let active = (entry.stage != Stage::Settled).then_some(entry.record.request);
         let waiters = entry.waiters.iter().map(|waiter| waiter.request);
-        for request in waiters.chain([entry.record.request]) {
+        for request in waiters.chain(active) {
             if let Some((place, _)) = cx.requests.get_mut(&request) {
                 *place = self.place.clone();
             }
@@ -353,12 +358,20 @@
     fn write_back(&mut self, cx: &mut Context<'_>) {
         self.phase = Phase::Writing;
         for (key, mut record) in mem::take(&mut self.read) {
-            let known = self.entries.get(&key);
-            if known.is_some_and(|known| {
-                known.stage != Stage::Settled || !record.supersedes(&known.record)
-            }) {
+            // The key may have got a dedicated shard since it was read.
+            if !self.cover.contains(self.place.shard, key.hash) {
                 continue;
             }
+            if let Some(known) = self.entries.get(&key) {
+                match known.stage {
+                    // The work ran here, so no other start of it can have.
+                    Stage::Running | Stage::Ending { .. } => continue,
+                    _ if !record.supersedes(&known.record) => continue,
+                    // Another owner has started the key since.
+                    Stage::Aborting { reason, .. } => self.refuse(cx, &key, reason),
+                    Stage::Starting { .. } | Stage::Settled => {}
+                }
+            }
             if record.state == State::Started {
                 record.state = State::Unknown;
             }
--- a/wisteriaglade-once/src/owner/grant/work.rs
+++ b/wisteriaglade-once/src/owner/grant/work.rs
@@ -19,17 +19,31 @@
 impl Grant {
     /// Admits a request, or lets it wait until the shard is ready.
     pub(in crate::owner) fn admit(&mut self, cx: &mut Context<'_>, begin: Begin) {
-        if !self.may_start(begin.key.hash) {
-            cx.refuse(begin.request, Reason::NotOwner);
-        } else if begin.deadline <= cx.now {
+        if begin.deadline <= cx.now {
             cx.refuse(begin.request, Reason::Deadline);
-        } else if self.phase == Phase::Ready {
+        } else if self.may_start(begin.key.hash) {
+            if self.phase == Phase::Ready {
+                self.decide(cx, begin);
+            } else {
+                self.queue.push_back(begin);
+            }
+        } else if self.phase == Phase::Ready && self.has_run(&begin.key) {
+            // What a majority holds of work that ran stays true for later owners.
             self.decide(cx, begin);
         } else {
-            self.queue.push_back(begin);
+            cx.refuse(begin.request, Reason::NotOwner);
         }
     }
 
+    /// Whether the work runs here or its outcome is known. That it is unknown does
+    /// not count, because a later owner may have found its outcome.
+    fn has_run(&self, key: &Key) -> bool {
+        self.entries.get(key).is_some_and(|entry| {
+            let ended = matches!(entry.record.state, State::Ended(_));
+            ended || entry.stage == Stage::Running
+        })
+    }
+
     fn decide(&mut self, cx: &mut Context<'_>, begin: Begin) {
         let Some(entry) = self.entries.get_mut(&begin.key) else {
             return self.start(cx, begin);
@@ -260,7 +274,7 @@
 
     /// The withdrawal of a start is done: refuses its request, and lets a resend
     /// that waited for it start anew.
-    fn refuse(&mut self, cx: &mut Context<'_>, key: &Key, reason: Reason) {
+    pub(super) fn refuse(&mut self, cx: &mut Context<'_>, key: &Key, reason: Reason) {
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
--- a/wisteriaglade-once/src/owner/sets.rs
+++ b/wisteriaglade-once/src/owner/sets.rs
@@ -54,16 +54,21 @@
         !self.holders.is_empty() && self.all().all(|set| majority(set, &has))
     }
 
-    /// Sets a new target. Returns whether it differs from all known sets.
+    /// Sets a new target; the present holders cancel it. Returns whether the target
+    /// changed.
     pub(super) fn replace(&mut self, holders: Vec<Node>) -> bool {
-        let known = holders == self.holders || self.past.contains(&holders);
-        if holders.is_empty() || known || self.target.as_ref() == Some(&holders) {
+        let target = (holders != self.holders).then_some(holders);
+        if target
+            .as_ref()
+            .is_some_and(|set| set.is_empty() || self.past.contains(set))
+            || self.target == target
+        {
             return false;
         }
-        if let Some(target) = self.target.replace(holders)
+        if let Some(former) = std::mem::replace(&mut self.target, target)
             && self.held
         {
-            self.proposed.push(target);
+            self.proposed.push(former);
         }
         self.held = false;
         true
--- /dev/null
+++ b/wisteriaglade-once/tests/network/control.rs
@@ -0,0 +1,186 @@
+//! A model of the control log, and the faults that come with it.
+
+use std::collections::BTreeSet;
+
+use rand::RngExt;
+use wisteriaglade_once::{Cover, owner::Event};
+use wisteriaglade_types::{Epoch, Node, Shard};
+
+use crate::world::{Faults, PARTS, Packet, Row, World, hash, host, node, pool};
+
+/// Dedicated shards are numbered from here.
+const DEDICATED: u32 = 1000;
+
+impl World {
+    /// Appends an entry. Rows get its index as their epoch if `grant` is set.
+    pub fn commit(&mut self, mut rows: Vec<(Shard, Option<Row>)>, grant: bool) {
+        let index = self.log.len();
+        for (shard, row) in &mut rows {
+            if let Some(row) = row {
+                if grant {
+                    row.epoch = Epoch::new(index as u64 + 1);
+                }
+                self.table.insert(*shard, row.clone());
+            } else {
+                self.table.remove(shard);
+            }
+        }
+        self.log.push(rows);
+        for to in 0..self.hosts.len() {
+            let delay = self.delay();
+            self.after(delay, Packet::Log { to, index });
+        }
+    }
+
+    pub fn hold(&mut self, shard: Shard, epoch: Epoch, base: &[Node], holders: Vec<Node>) {
+        if let Some(row) = self.table.get(&shard)
+            && row.epoch == epoch
+            && row.holders == base
+        {
+            let row = Row {
+                holders,
+                ..row.clone()
+            };
+            self.commit(vec![(shard, Some(row))], false);
+        }
+    }
+
+    pub fn fault(&mut self) {
+        self.after(100, Packet::Faults);
+        self.repair();
+        if !self.active {
+            return;
+        }
+        let Faults {
+            pause,
+            kill,
+            reassign,
+            replace,
+            split,
+            ..
+        } = self.faults.clone();
+        if self.rng.random_bool(pause) {
+            let to = self.rng.random_range(0..self.hosts.len());
+            let length = self.rng.random_range(50..1500);
+            if self.hosts[to].alive && self.hosts[to].paused.is_none() {
+                self.hosts[to].paused = Some(Vec::new());
+                self.after(length, Packet::Resume { to });
+            }
+        }
+        if self.rng.random_bool(kill) {
+            self.kill();
+        }
+        if self.rng.random_bool(reassign) {
+            let shard = self.pick_shard();
+            self.reassign(shard);
+        }
+        if self.rng.random_bool(replace) {
+            let shard = self.pick_shard();
+            let row = self.table[&shard].clone();
+            if row.holders.iter().all(|node| self.hosts[host(*node)].alive) {
+                let out = self.rng.random_range(0..row.holders.len());
+                self.replace(shard, row.holders[out]);
+            }
+        }
+        if self.rng.random_bool(split) {
+            self.split();
+        }
+    }
+
+    /// Assigns the shards of lost owners and replaces lost holders.
+    fn repair(&mut self) {
+        for (shard, row) in self.table.clone() {
+            if !self.hosts[row.owner].alive {
+                self.reassign(shard);
+            }
+            let lost = row
+                .holders
+                .iter()
+                .find(|node| !self.hosts[host(**node)].alive);
+            let now = !self.active || self.rng.random_bool(0.3);
+            match lost {
+                Some(lost) if now => self.replace(shard, *lost),
+                None if now => self.propose(shard, row.holders),
+                _ => {}
+            }
+        }
+    }
+
+    /// Gives every shard a new owner or at least a new epoch.
+    pub fn reassign_all(&mut self) {
+        for shard in self.table.keys().copied().collect::<Vec<_>>() {
+            self.reassign(shard);
+        }
+    }
+
+    fn reassign(&mut self, shard: Shard) {
+        let mut row = self.table[&shard].clone();
+        row.owner = self.pick_host(&BTreeSet::new());
+        self.commit(vec![(shard, Some(row))], true);
+    }
+
+    fn replace(&mut self, shard: Shard, out: Node) {
+        let row = self.table[&shard].clone();
+        let present = row.holders.iter().map(|node| host(*node)).collect();
+        let new = node(self.pick_host(&present));
+        let holders = row.holders.iter();
+        let holders = holders
+            .map(|node| if *node == out { new } else { *node })
+            .collect();
+        self.propose(shard, holders);
+    }
+
+    /// Tells the owner of a shard which holders it is to have.
+    fn propose(&mut self, shard: Shard, holders: Vec<Node>) {
+        let to = self.table[&shard].owner;
+        let pool = pool();
+        let event = Event::Replace {
+            pool,
+            shard,
+            holders,
+        };
+        self.after(1, Packet::Event { to, event });
+    }
+
+    /// Ends one host, if every shard keeps a majority of its holders.
+    fn kill(&mut self) {
+        let out = self.pick_host(&BTreeSet::new());
+        let safe = self.table.values().all(|row| {
+            let others = row.holders.iter().filter(|node| host(**node) != out);
+            let alive = others.filter(|node| self.hosts[host(**node)].alive).count();
+            alive > row.holders.len() / 2
+        });
+        if safe {
+            self.hosts[out].alive = false;
+            self.hosts[out].paused = None;
+            self.spawn();
+        }
+    }
+
+    /// Gives a key a dedicated shard, or merges it back.
+    fn split(&mut self) {
+        let number = self.rng.random_range(0..2);
+        let hash = hash(u64::from(number));
+        let (parent, dedicated) = (hash.shard(PARTS), Shard::new(DEDICATED + number));
+        let mut part = self.table[&parent].clone();
+        let Cover::Part { except, .. } = &mut part.cover else {
+            unreachable!("the parent covers a part");
+        };
+        if let Some(row) = self.table.get(&dedicated) {
+            if row.holders == part.holders {
+                except.retain(|other| *other != hash);
+                self.commit(vec![(parent, Some(part)), (dedicated, None)], true);
+            }
+        } else {
+            except.push(hash);
+            let cover = Cover::Single(hash);
+            let row = Row {
+                cover,
+                ..self.table[&parent].clone()
+            };
+            let epoch = Epoch::new(self.log.len() as u64 + 1);
+            let row = Row { epoch, ..row };
+            self.commit(vec![(dedicated, Some(row)), (parent, Some(part))], false);
+        }
+    }
+}
--- /dev/null
+++ b/wisteriaglade-once/tests/network/main.rs
@@ -0,0 +1,112 @@
+//! Owners and holders over an unreliable network, from random seeds.
+//!
+//! The world contains no lease: two owners of one shard may both be active, which
+//! is worse than what the control log allows.
+
+mod control;
+mod oracle;
+mod world;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use wisteriaglade_once::owner::Reason;
+
+use self::{
+    oracle::Final,
+    world::{Faults, World},
+};
+
+/// Seeds of each scenario; `ONCE_SEEDS` overrides the number and `ONCE_FIRST` the first.
+fn seeds(count: u64) -> std::ops::Range<u64> {
+    let number = |name| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    let first = number("ONCE_FIRST").unwrap_or(0);
+    first..first + number("ONCE_SEEDS").unwrap_or(count)
+}
+
+const CALM: Faults = Faults {
+    loss: 0.0,
+    repeat: 0.0,
+    late: 0.0,
+    pause: 0.0,
+    kill: 0.0,
+    reassign: 0.0,
+    replace: 0.0,
+    split: 0.0,
+};
+
+/// Guards against a second run, a lost acknowledged answer, a refusal of work that
+/// ran, a differing answer, and a request without its final effect.
+#[rstest]
+#[case::calm(CALM, 20)]
+#[case::messages(Faults { loss: 0.1, repeat: 0.1, late: 0.1, ..CALM }, 100)]
+#[case::owners(Faults { reassign: 0.5, pause: 0.3, late: 0.1, ..CALM }, 150)]
+#[case::holders(Faults { kill: 0.4, replace: 0.3, loss: 0.05, late: 0.05, ..CALM }, 150)]
+#[case::split(Faults { split: 0.6, reassign: 0.2, late: 0.05, ..CALM }, 150)]
+#[case::everything(
+    Faults {
+        loss: 0.05, repeat: 0.05, late: 0.05, pause: 0.2, kill: 0.2, reassign: 0.2,
+        replace: 0.2, split: 0.2,
+    },
+    250
+)]
+fn requests_run_at_most_once(#[case] faults: Faults, #[case] count: u64) {
+    for seed in seeds(count) {
+        let mut world = World::new(seed, faults.clone());
+
+        world.run(Duration::from_secs(8));
+        world.heal();
+
+        world.check_all_answered();
+        world.check_resends();
+    }
+}
+
+/// Guards against a withdrawn start that blocks its key: after starts were given up
+/// in a lossy network, a later owner runs every key that never ran.
+#[test]
+fn refused_requests_can_run_later() {
+    for seed in seeds(60) {
+        let mut world = World::new(seed, Faults { loss: 0.15, ..CALM });
+        world.run(Duration::from_secs(5));
+        world.heal();
+        world.reassign_all();
+        world.run(Duration::from_secs(1));
+
+        let never = world.oracle.never_ran();
+        assert!(!never.is_empty(), "seed {seed}: no start was given up");
+        for outcome in world.resend(never) {
+            let ran = matches!(outcome, Final::Acknowledge(_));
+            assert!(ran, "seed {seed}: got {outcome:?}");
+        }
+    }
+}
+
+/// Guards against scenarios that pass because nothing happens in them.
+#[test]
+fn scenarios_reach_every_outcome() {
+    let faults = Faults {
+        loss: 0.1,
+        kill: 0.2,
+        reassign: 0.3,
+        pause: 0.2,
+        ..CALM
+    };
+    let mut total = oracle::Counts::default();
+    for seed in seeds(30) {
+        let mut world = World::new(seed, faults.clone());
+        world.run(Duration::from_secs(8));
+        total.add(&world.oracle);
+    }
+    assert!(total.acknowledged > 100, "{total:?}");
+    assert!(total.replayed > 100, "{total:?}");
+    assert!(total.unknown > 20, "{total:?}");
+    for reason in [
+        Reason::NotOwner,
+        Reason::Deadline,
+        Reason::Mismatch,
+        Reason::Aborted,
+    ] {
+        assert!(total.refused.contains_key(reason.as_str()), "{total:?}");
+    }
+}
--- /dev/null
+++ b/wisteriaglade-once/tests/network/oracle.rs
@@ -0,0 +1,172 @@
+//! What callers and targets have seen.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use wisteriaglade_once::{Answer, Key, owner::Reason};
+use wisteriaglade_types::Request;
+
+/// The final effect of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Final {
+    Acknowledge(Answer),
+    Replay(Answer),
+    Refuse(Reason),
+    Unknown,
+}
+
+#[derive(Debug)]
+pub struct Asked {
+    pub key: Key,
+    pub node: usize,
+    /// Whether the request has another path than the one that ran.
+    pub foreign: bool,
+    /// Whether the key had an acknowledged answer when the request was sent.
+    pub settled: bool,
+}
+
+#[derive(Debug)]
+pub struct Oracle {
+    pub seed: u64,
+    pub asked: BTreeMap<Request, Asked>,
+    pub finals: BTreeMap<Request, Final>,
+    /// The run of each key, with its answer.
+    ran: BTreeMap<Key, (Request, Answer)>,
+    granted: BTreeSet<Request>,
+    acknowledged: BTreeMap<Key, Answer>,
+    /// Keys that the target shed, so that they did not run.
+    shed: BTreeSet<Request>,
+}
+
+impl Oracle {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            asked: BTreeMap::new(),
+            finals: BTreeMap::new(),
+            ran: BTreeMap::new(),
+            granted: BTreeSet::new(),
+            acknowledged: BTreeMap::new(),
+            shed: BTreeSet::new(),
+        }
+    }
+
+    pub fn ask(&mut self, request: Request, key: Key, node: usize, foreign: bool) {
+        let settled = self.acknowledged.contains_key(&key);
+        let asked = Asked {
+            key,
+            node,
+            foreign,
+            settled,
+        };
+        self.asked.insert(request, asked);
+    }
+
+    /// A request is dispatched to the target, which sheds it or runs it.
+    pub fn run(&mut self, request: Request, sheds: bool) {
+        let seed = self.seed;
+        let asked = &self.asked[&request];
+        assert!(
+            self.granted.insert(request),
+            "seed {seed}: {request} granted twice"
+        );
+        let earlier = self.finals.get(&request);
+        assert!(
+            earlier.is_none(),
+            "seed {seed}: {request} runs after {earlier:?}"
+        );
+        assert!(
+            !asked.settled,
+            "seed {seed}: {} runs after its answer",
+            asked.key
+        );
+        if sheds {
+            self.shed.insert(request);
+            return;
+        }
+        let answer = answer(request);
+        let former = self.ran.insert(asked.key.clone(), (request, answer));
+        assert!(
+            former.is_none(),
+            "seed {seed}: {} runs again, before {former:?}",
+            asked.key
+        );
+    }
+
+    /// A request ends. `former` is set when the node no longer owns its shard.
+    pub fn end(&mut self, request: Request, outcome: Final, former: bool) {
+        let seed = self.seed;
+        let asked = &self.asked[&request];
+        let context = format!("seed {seed}: {request} of {} got {outcome:?}", asked.key);
+        let ran = self.ran.get(&asked.key);
+        let refused = matches!(outcome, Final::Refuse(_));
+        assert!(refused || !asked.foreign, "{context}");
+        match &outcome {
+            Final::Acknowledge(answer) => {
+                assert_eq!(ran, Some(&(request, answer.clone())), "{context}");
+                self.acknowledged.insert(asked.key.clone(), answer.clone());
+            }
+            Final::Replay(answer) => {
+                assert_eq!(ran.map(|(_, answer)| answer), Some(answer), "{context}");
+                self.acknowledged.insert(asked.key.clone(), answer.clone());
+            }
+            Final::Refuse(_) => {
+                let own = ran.is_some_and(|(first, _)| *first == request);
+                assert!(!own, "{context}");
+            }
+            // A former owner may not know that its outcome reached the holders.
+            Final::Unknown => assert!(former || !asked.settled, "{context}"),
+        }
+        let earlier = self.finals.insert(request, outcome);
+        assert!(earlier.is_none(), "{context} after {earlier:?}");
+    }
+
+    pub fn keys(&self) -> BTreeSet<Key> {
+        self.asked.values().map(|asked| asked.key.clone()).collect()
+    }
+
+    pub fn has_run(&self, key: &Key) -> bool {
+        self.ran.contains_key(key)
+    }
+
+    pub fn is_acknowledged(&self, key: &Key) -> bool {
+        self.acknowledged.contains_key(key)
+    }
+
+    pub fn never_ran(&self) -> Vec<Key> {
+        let keys = self.keys().into_iter();
+        keys.filter(|key| !self.has_run(key)).collect()
+    }
+}
+
+/// The answer of the target to a request, different for each.
+pub fn answer(request: Request) -> Answer {
+    Answer {
+        status: 201,
+        headers: vec![(
+            "x-run".into(),
+            request.get().to_be_bytes().as_slice().into(),
+        )],
+        body: Some(request.to_string().as_bytes().into()),
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Counts {
+    pub acknowledged: usize,
+    pub replayed: usize,
+    pub unknown: usize,
+    pub refused: BTreeMap<&'static str, usize>,
+}
+
+impl Counts {
+    pub fn add(&mut self, oracle: &Oracle) {
+        for outcome in oracle.finals.values() {
+            match outcome {
+                Final::Acknowledge(_) => self.acknowledged += 1,
+                Final::Replay(_) => self.replayed += 1,
+                Final::Unknown => self.unknown += 1,
+                Final::Refuse(reason) => *self.refused.entry(reason.as_str()).or_default() += 1,
+            }
+        }
+    }
+}
