Read the shard table only after a change and let forwarded requests end

The session looked at every shard of the pool 50 times a second; it now does so after an applied change only. A shutdown waits for forwarded requests as well, and a node that stands alone does not wait 10 s for others to take its shards. A draining target may repeat its announcement.

--- a/wisteriaglade-node/src/admin/operators.rs
+++ b/wisteriaglade-node/src/admin/operators.rs
@@ -243,8 +243,7 @@
                 },
             },
         ),
-        Some(other) => Err(HttpError::for_bad_request(None, format!("{other:?}"))),
-        None => Err(unavailable()),
+        other => Err(refused(other)),
     }
 }
 
@@ -355,8 +354,7 @@
         .await
     {
         Some(Reply::Accepted) => Ok(HttpResponseUpdatedNoContent()),
-        Some(other) => Err(HttpError::for_bad_request(None, format!("{other:?}"))),
-        None => Err(unavailable()),
+        other => Err(refused(other)),
     }
 }
 
@@ -410,13 +408,18 @@
         })
 }
 
-fn unavailable() -> HttpError {
-    HttpError::for_unavail(
-        None,
-        "the change was not confirmed by a majority of the control replicas; \
-         send it again with the same id"
-            .to_owned(),
-    )
+/// The error for a change that was refused, or has no outcome yet.
+fn refused(reply: Option<Reply>) -> HttpError {
+    match reply {
+        Some(Reply::Refused(reason)) => HttpError::for_bad_request(None, reason.to_string()),
+        Some(other) => HttpError::for_internal_error(format!("unexpected reply {other:?}")),
+        None => HttpError::for_unavail(
+            None,
+            "the change was not confirmed by a majority of the control replicas; \
+             send it again with the same id"
+                .to_owned(),
+        ),
+    }
 }
 
 fn json<T: Serialize>(code: StatusCode, document: &T) -> Result<Response<Body>, HttpError> {
--- a/wisteriaglade-node/src/admin/targets.rs
+++ b/wisteriaglade-node/src/admin/targets.rs
@@ -49,8 +49,14 @@
         },
         draining: false,
     };
-    let repeated = context.announced.borrow().as_ref() == Some(&announced);
-    if !repeated {
+    // A target that drains may still repeat its announcement; only leaving
+    // ends the drain.
+    let known = context
+        .announced
+        .borrow()
+        .as_ref()
+        .is_some_and(|known| known.draining || *known == announced);
+    if !known {
         context.announced.send_replace(Some(announced));
         context.admission.target(Some(Capacity {
             slots: document.slots,
--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -205,20 +205,28 @@
     }
 }
 
-/// Waits until this node owns no shard.
+/// Waits until this node owns no shard, or nobody is there to take them.
 async fn emptied(context: &Context) {
     let mut changes = context.applied.subscribe();
-    loop {
-        let held = context.node().and_then(|node| {
-            let view = crate::read(&context.view);
-            view.state.node(node).map(control::Process::held)
-        });
-        if held.unwrap_or(0) == 0 || changes.changed().await.is_err() {
+    while holds_movable(context) {
+        if changes.changed().await.is_err() {
             return;
         }
     }
 }
 
+fn holds_movable(context: &Context) -> bool {
+    let view = crate::read(&context.view);
+    let Some(own) = context.node().and_then(|node| view.state.node(node)) else {
+        return false;
+    };
+    let others = own.pool().is_some_and(|pool| {
+        let mut nodes = view.state.nodes();
+        nodes.any(|other| other.node() != own.node() && other.is_ready(pool))
+    });
+    own.held() > 0 && others
+}
+
 fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener> {
     let listen = || {
         let socket = if address.is_ipv4() {
--- a/wisteriaglade-node/src/message.rs
+++ b/wisteriaglade-node/src/message.rs
@@ -48,8 +48,6 @@
     Cut,
     /// The router's own answer.
     Refused(Box<Refusal>),
-    /// The caller went away.
-    Cancel,
     /// Asks what became of a request.
     Query { request: Request },
     /// The answer to `Query`.
--- a/wisteriaglade-node/src/peer.rs
+++ b/wisteriaglade-node/src/peer.rs
@@ -150,7 +150,7 @@
                 return Ok(());
             }
             // What is left over from an exchange that ended early.
-            Message::Cancel | Message::Chunk(_) | Message::End | Message::Cut => {}
+            Message::Chunk(_) | Message::End | Message::Cut => {}
             _ => return Ok(()),
         }
     }
@@ -164,7 +164,9 @@
     writer: &mut Writer<TcpStream>,
 ) -> wisteriaglade_wire::Result<bool> {
     let request = forward.request;
-    let outcome = Exchange::new(context, inbox, writer).run(forward).await;
+    let exchange = Exchange::new(context, inbox, writer).run(forward);
+    // Tracked, so that a shutdown lets it end.
+    let outcome = context.requests.track_future(exchange).await;
     context.seen.finish(request);
     outcome
 }
--- a/wisteriaglade-node/src/refusal.rs
+++ b/wisteriaglade-node/src/refusal.rs
@@ -34,7 +34,9 @@
     Deadline,
     /// The owner's node cannot be reached.
     Unreachable,
-    /// The target refused the connection or shed the request.
+    /// The target refused the connection or does not respond.
+    TargetUnreachable,
+    /// The target shed the request.
     TargetUnavailable,
     /// The records of at-most-once requests cannot be written at the moment.
     RecordsUnavailable,
@@ -63,6 +65,7 @@
             Self::Overloaded => "overloaded",
             Self::Deadline => "deadline",
             Self::Unreachable => "unreachable",
+            Self::TargetUnreachable => "target-unreachable",
             Self::TargetUnavailable => "target-unavailable",
             Self::RecordsUnavailable => "records-unavailable",
             Self::ConnectionLost => "connection-lost",
@@ -87,6 +90,7 @@
             Self::NoOwner
             | Self::Stale
             | Self::Moved
+            | Self::TargetUnreachable
             | Self::TargetUnavailable
             | Self::RecordsUnavailable
             | Self::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
@@ -97,7 +101,11 @@
     pub(crate) const fn transient(self) -> bool {
         matches!(
             self,
-            Self::NoOwner | Self::Moved | Self::Unreachable | Self::ShuttingDown
+            Self::NoOwner
+                | Self::Moved
+                | Self::Unreachable
+                | Self::TargetUnreachable
+                | Self::ShuttingDown
         )
     }
 }
--- a/wisteriaglade-node/src/session.rs
+++ b/wisteriaglade-node/src/session.rs
@@ -6,7 +6,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use tracing::{info, warn};
 use wisteriaglade_control::{Command, Reply, Status};
-use wisteriaglade_types::Node;
+use wisteriaglade_types::{Epoch, Node, Shard};
 use wisteriaglade_wire::Datagram as Sealed;
 
 use crate::{
@@ -59,20 +59,28 @@
 }
 
 /// Returns when the node has been fenced or removed.
+///
+/// The table of shards is read only after a change, since it is large in a
+/// large cluster.
 async fn maintain(context: &Arc<Context>, node: Node) {
     let mut changes = context.applied.subscribe();
     let mut announced = context.announced.subscribe();
     loop {
+        changes.borrow_and_update();
+        announced.borrow_and_update();
         if gone(context, node) {
             return;
         }
         records::follow(context, node);
         announce(context, node).await;
-        hand_over(context, node).await;
-        tokio::select! {
-            _ = changes.changed() => {}
-            _ = announced.changed() => {}
-            () = sleep(PAUSE) => {}
+        let mut moving = moving(context, node);
+        loop {
+            hand_over(context, node, &mut moving).await;
+            tokio::select! {
+                _ = changes.changed() => break,
+                _ = announced.changed() => break,
+                () = sleep(PAUSE), if !moving.is_empty() => {}
+            }
         }
     }
 }
@@ -95,9 +103,10 @@
         return;
     };
     info!(event = "announce", command = ?command);
-    context.propose(command, PATIENCE).await;
-    // The next look must see the effect, or it would propose it again.
-    sleep(PAUSE).await;
+    if context.propose(command, PATIENCE).await.is_none() {
+        // Nothing else would wake the session to try again.
+        context.announced.send_modify(|_| {});
+    }
 }
 
 fn announcement(context: &Context, node: Node, wanted: Option<Announced>) -> Option<Command> {
@@ -120,26 +129,38 @@
             })
         }
         (Status::Ready, None) => Some(Command::Drain { node }),
+        // The target is gone for good; under a new id the node can take the
+        // next one, which a draining node cannot.
+        (Status::Draining, None) if process.held() == 0 => Some(Command::Leave { node }),
         _ => None,
     }
 }
 
-/// Releases shards that are moving away and have no work in flight.
-async fn hand_over(context: &Context, node: Node) {
-    let idle: Vec<_> = {
-        let view = read(&context.view);
-        view.state
-            .shards_of(node)
-            .filter(|grant| grant.moving_to.is_some())
-            .map(|grant| (grant.shard, grant.epoch))
-            .filter(|&(shard, _)| context.admission.idle(shard))
-            .collect()
-    };
+/// The shards of this node that are moving away.
+fn moving(context: &Context, node: Node) -> Vec<(Shard, Epoch)> {
+    let view = read(&context.view);
+    view.state
+        .shards_of(node)
+        .filter(|grant| grant.moving_to.is_some())
+        .map(|grant| (grant.shard, grant.epoch))
+        .collect()
+}
+
+/// Releases those of the moving shards that have no work in flight.
+async fn hand_over(context: &Context, node: Node, moving: &mut Vec<(Shard, Epoch)>) {
+    let (idle, busy): (Vec<_>, Vec<_>) = moving
+        .iter()
+        .copied()
+        .partition(|&(shard, _)| context.admission.idle(shard));
+    *moving = busy;
     if idle.is_empty() {
         return;
     }
-    let command = Command::Release { node, shards: idle };
-    context.propose(command, PATIENCE).await;
+    let shards = idle.clone();
+    let command = Command::Release { node, shards };
+    if context.propose(command, PATIENCE).await.is_none() {
+        moving.extend(idle);
+    }
 }
 
 /// Renews the lease until the process ends.
--- a/wisteriaglade-node/src/work.rs
+++ b/wisteriaglade-node/src/work.rs
@@ -187,7 +187,7 @@
         Admission::Departed => Refusal::not_run(Reason::Deadline, "the caller disconnected"),
         Admission::Draining => Refusal::not_run(Reason::Moved, "the target is leaving"),
         Admission::Absent | Admission::Unresponsive => {
-            Refusal::not_run(Reason::TargetUnavailable, "the target does not respond")
+            Refusal::not_run(Reason::TargetUnreachable, "the target does not respond")
         }
     };
     match after {
@@ -227,7 +227,7 @@
     let response = outcome.map_err(|error| {
         ticket.finish(Finish::Failed);
         match error {
-            target::Error::Connect(detail) => Refusal::not_run(Reason::TargetUnavailable, detail),
+            target::Error::Connect(detail) => Refusal::not_run(Reason::TargetUnreachable, detail),
             target::Error::Broken(detail) => Refusal::unknown(Reason::ConnectionLost, detail),
         }
     })?;
