Bound retries by the budget of the member and the health of the node

During the loss of a host every request for its keys was sent again every 20 ms, about 40 times in 800 ms. Nodes that did not answer lately are not tried at all.

--- a/wisteriaglade-node/src/context.rs
+++ b/wisteriaglade-node/src/context.rs
@@ -9,6 +9,7 @@
 use tokio::{net::UdpSocket, sync::watch};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use wisteriaglade_control::{Command, Grant, Target};
+use wisteriaglade_router::{peer::Health, retry::Budget};
 use wisteriaglade_types::{Hash, Index, Name, Node};
 use wisteriaglade_wire::Key;
 
@@ -46,6 +47,10 @@
     pub(crate) announced: watch::Sender<Option<Announced>>,
     pub(crate) admission: Arc<Admission>,
     pub(crate) seen: Seen,
+    /// How many retries each member has left.
+    pub(crate) budget: Mutex<Budget>,
+    /// How the nodes answer that requests are forwarded to.
+    pub(crate) health: Mutex<Health>,
     pub(crate) records: Records,
     pub(crate) pool: Pool,
     pub(crate) client: target::Client,
--- a/wisteriaglade-node/src/forward.rs
+++ b/wisteriaglade-node/src/forward.rs
@@ -6,6 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
 use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle, time::timeout};
+use wisteriaglade_router::peer::{Outcome, Path};
 use wisteriaglade_types::{Node, Request};
 use wisteriaglade_wire::{self as wire, Reader, Writer};
 
@@ -13,6 +14,7 @@
     body::{Body, Piece},
     context::Context,
     job::Job,
+    lock,
     message::{Forward, Head, Known, Message},
     pool::Link,
     refusal::{Reason, Refusal},
@@ -37,14 +39,7 @@
     node: Node,
     job: Job,
 ) -> Result<Response<Body>, Refusal> {
-    let link = match context.pool.take(peer) {
-        Some(link) => link,
-        None => context
-            .pool
-            .open(peer)
-            .await
-            .map_err(|error| Refusal::not_run(Reason::Unreachable, error.to_string()))?,
-    };
+    let link = connect(context, peer, node).await?;
     let request = job.request;
     let call = Exchange {
         context,
@@ -52,10 +47,43 @@
         request,
     };
     let forward = message(context, node, &job);
-    match call.run(link, forward, job.body).await {
+    let outcome = call.run(link, forward, job.body).await;
+    let answered = match &outcome {
+        Ok(Ok(_)) => Outcome::Answered,
+        Ok(Err(_)) => Outcome::Refused,
+        Err(Lost) => Outcome::Silent,
+    };
+    record(context, node, answered);
+    match outcome {
         Ok(answer) => answer,
-        Err(_) => Err(call.resolve().await),
+        Err(Lost) => Err(call.resolve().await),
+    }
+}
+
+fn record(context: &Context, node: Node, outcome: Outcome) {
+    let now = context.clock.now();
+    lock(&context.health).record(now, node, outcome);
+}
+
+/// A connection to the owner's node, a new one when the last attempts had no
+/// answer.
+async fn connect(context: &Context, peer: SocketAddr, node: Node) -> Result<Link, Refusal> {
+    let path = lock(&context.health).path(context.clock.now(), node);
+    let pooled = match path {
+        Path::Pooled => context.pool.take(peer),
+        Path::Fresh => None,
+        Path::Avoid => {
+            let detail = "the owner's node has not answered lately";
+            return Err(Refusal::not_run(Reason::Unreachable, detail));
+        }
+    };
+    if let Some(link) = pooled {
+        return Ok(link);
     }
+    context.pool.open(peer).await.map_err(|error| {
+        record(context, node, Outcome::Failed);
+        Refusal::not_run(Reason::Unreachable, error.to_string())
+    })
 }
 
 fn message(context: &Context, node: Node, job: &Job) -> Message {
--- a/wisteriaglade-node/src/ingress.rs
+++ b/wisteriaglade-node/src/ingress.rs
@@ -1,20 +1,25 @@
 //! Takes a request from a caller and finds the node that owns its key.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use http::{HeaderMap, Method, Response, Uri};
 use hyper::body::Incoming;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tracing::{Instrument, info_span};
 use wisteriaglade_rules::{Execution, Rule};
-use wisteriaglade_types::{Hash, Name, Node, Outcome, Request};
+use wisteriaglade_types::{Epoch, Hash, Name, Node, Outcome, Request};
 
 use crate::{
     body::Body,
     context::Context,
     forward, header as names,
     job::Job,
+    lock,
     payload::Payload,
     read,
     refusal::{Reason, Refusal},
@@ -25,9 +30,12 @@
 /// a lost host; a caller that would wait longer is told to come back.
 const OWNERLESS: Duration = Duration::from_secs(3);
 
-/// The pause before the same owner is tried again.
+/// The first pause before the same owner is tried again. It doubles.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// The longest pause before the same owner is tried again.
+const LONGEST_PAUSE: Duration = Duration::from_millis(320);
+
 /// When a caller should come back to a node that is behind.
 const BEHIND: Duration = Duration::from_millis(500);
 
@@ -50,7 +58,7 @@
 pub(crate) async fn handle(
     context: Arc<Context>,
     request: http::Request<Incoming>,
-    address: std::net::IpAddr,
+    address: IpAddr,
 ) -> Response<Body> {
     let start = context.clock.now();
     let span = info_span!(
@@ -78,7 +86,7 @@
 async fn answer(
     context: &Arc<Context>,
     request: http::Request<Incoming>,
-    address: std::net::IpAddr,
+    address: IpAddr,
 ) -> Answer {
     let nobody = |refusal| (Name::from(""), refusal);
     let mut ingress = accept(context, request, address).await.map_err(nobody)?;
@@ -92,7 +100,7 @@
 async fn accept(
     context: &Context,
     request: http::Request<Incoming>,
-    address: std::net::IpAddr,
+    address: IpAddr,
 ) -> Result<Ingress, Refusal> {
     if !context.current() {
         return Err(behind());
@@ -175,8 +183,12 @@
 /// Tries the owner until there is an answer that another attempt would not
 /// change.
 async fn route(context: &Arc<Context>, ingress: &mut Ingress) -> Result<Response<Body>, Refusal> {
+    let member = ingress.rule.member.clone();
+    lock(&context.budget).request(context.clock.now(), &member);
+    let mut pause = PAUSE;
     loop {
-        let (node, peer) = owner(context, ingress).await?;
+        let place = owner(context, ingress).await?;
+        let node = place.node;
         let Some(body) = ingress.payload.take() else {
             return Err(Refusal::not_run(
                 Reason::Moved,
@@ -199,7 +211,7 @@
         } else {
             let span = info_span!("forward", request = %job.request, node = node.get());
             trace::inject(&span, &mut job.headers);
-            let forward = forward::forward(context, peer, node, job).instrument(span);
+            let forward = forward::forward(context, place.peer, node, job).instrument(span);
             let deadline = context.clock.instant(ingress.deadline);
             match tokio::time::timeout_at(deadline, forward).await {
                 Ok(outcome) => outcome,
@@ -210,12 +222,36 @@
             }
         };
         match outcome {
-            Err(refusal) if again(context, ingress, &refusal) => sleep(PAUSE).await,
+            Err(refusal) if again(context, ingress, &refusal) => {
+                // A new owner is tried at once. The same one is tried again
+                // after a pause and within the budget of the member, so that
+                // retries do not multiply the load of a node in trouble.
+                if !moved(context, ingress, &place, pause).await
+                    && !lock(&context.budget).retry(context.clock.now(), &member)
+                {
+                    return Err(refusal.after(BEHIND));
+                }
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
             outcome => return outcome,
         }
     }
 }
 
+/// Waits until the key has another grant than the one that was tried. False
+/// when it still has the same after `pause`.
+async fn moved(context: &Context, ingress: &Ingress, tried: &Place, pause: Duration) -> bool {
+    let mut changes = context.applied.subscribe();
+    let change = async {
+        while look_up(context, ingress).is_none_or(|place| place.epoch == tried.epoch) {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    timeout(pause, change).await.is_ok()
+}
+
 /// Whether another attempt is safe and can succeed.
 fn again(context: &Context, ingress: &Ingress, refusal: &Refusal) -> bool {
     let time = context.clock.now() + PAUSE < ingress.deadline;
@@ -231,11 +267,16 @@
     time && kept && safe
 }
 
+/// Where a key is served.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    node: Node,
+    peer: SocketAddr,
+    epoch: Epoch,
+}
+
 /// The node that owns the key, after a wait when there is none.
-async fn owner(
-    context: &Context,
-    ingress: &Ingress,
-) -> Result<(Node, std::net::SocketAddr), Refusal> {
+async fn owner(context: &Context, ingress: &Ingress) -> Result<Place, Refusal> {
     let mut changes = context.applied.subscribe();
     let patience = (context.clock.now() + OWNERLESS).min(ingress.deadline);
     loop {
@@ -252,12 +293,16 @@
     }
 }
 
-fn look_up(context: &Context, ingress: &Ingress) -> Option<(Node, std::net::SocketAddr)> {
+fn look_up(context: &Context, ingress: &Ingress) -> Option<Place> {
     let view = read(&context.view);
     let grant = view.state.locate(&ingress.rule.pool, ingress.hash)?;
     if grant.moving_to.is_some() {
         return None;
     }
     let process = view.state.node(grant.owner?)?;
-    (!process.is_fenced()).then(|| (process.node(), process.peer()))
+    (!process.is_fenced()).then(|| Place {
+        node: process.node(),
+        peer: process.peer(),
+        epoch: grant.epoch,
+    })
 }
