Test the replicated log under faults and correct what that found

The seed is printed on a failure.

Corrected: - A follower whose log differed at the probed index named that index as the hint, and the leader ignored the response; the follower stayed behind. - A response that named an index beyond the log overflowed in the leader. - A leader of one replica reported its age since its last step as contact. - A repeated change of the group names the commit index. - A refused pre-vote is repeated after 50 to 200 ms and a split vote after half an election timeout.

commits() moves from the unit tests to the network tests, with the same checks.

--- a/wisteriaglade-consensus/src/input.rs
+++ b/wisteriaglade-consensus/src/input.rs
@@ -34,7 +34,9 @@
         /// The encoded state machine.
         data: Arc<[u8]>,
     },
-    /// A new group, which may add one replica and remove one replica.
+    /// A new group, which may add one replica and remove one replica. The
+    /// current group again is acknowledged with the commit index, so that a
+    /// change whose outcome is unknown can be repeated.
     Members {
         /// Returned with the outcome.
         ticket: u64,
--- a/wisteriaglade-consensus/src/raft.rs
+++ b/wisteriaglade-consensus/src/raft.rs
@@ -6,10 +6,7 @@
 mod read;
 mod transfer;
 
-#[cfg(test)]
-mod tests;
-
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeSet, ops::Range, time::Duration};
 
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
 use wisteriaglade_types::{Index, Term};
@@ -274,7 +271,7 @@
     /// Becomes a follower in the current term.
     fn follow(&mut self, leader: Option<Replica>, outputs: &mut Vec<Output>) {
         if self.role == Role::Leader {
-            self.heard = Some(self.quorum_heard());
+            self.heard = Some(self.quorum_heard(self.now));
             self.retire(leader, outputs);
             self.rearm();
         }
@@ -356,6 +353,21 @@
         self.deadline = self.now + self.random.random_range(self.config.election.clone());
     }
 
+    /// Chooses when to repeat a pre-vote. It disturbs no one, and the others
+    /// may have refused because they heard the leader slightly later; waiting
+    /// for an election timeout would double the time without a leader.
+    fn rearm_pre_vote(&mut self) {
+        let shortest = self.config.heartbeat;
+        self.deadline = self.now + self.random.random_range(shortest..=4 * shortest);
+    }
+
+    /// Chooses when to give up on a vote. Two candidates may have split it;
+    /// half the election timeout leaves enough time for the sync of the votes.
+    fn rearm_vote(&mut self) {
+        let Range { start, end } = self.config.election;
+        self.deadline = self.now + self.random.random_range(start / 2..=end / 2);
+    }
+
     fn send(&self, to: Replica, message: Message, outputs: &mut Vec<Output>) {
         debug_assert_ne!(to, self.config.replica, "a replica sends to itself");
         outputs.push(Output::Send { to, message });
--- a/wisteriaglade-consensus/src/raft/elect.rs
+++ b/wisteriaglade-consensus/src/raft/elect.rs
@@ -17,6 +17,7 @@
         }
         self.role = Role::PreCandidate;
         self.granted = [self.config.replica].into();
+        self.rearm_pre_vote();
         let message = Message::PreVote {
             term: self.vote.term.next(),
             last: self.log.last(),
@@ -29,6 +30,7 @@
 
     /// Asks for votes in a new term.
     fn campaign(&mut self, outputs: &mut Vec<Output>) {
+        self.rearm_vote();
         self.role = Role::Candidate;
         self.leader = None;
         self.granted = [self.config.replica].into();
--- a/wisteriaglade-consensus/src/raft/lead.rs
+++ b/wisteriaglade-consensus/src/raft/lead.rs
@@ -101,7 +101,7 @@
         } else if open {
             Reason::Busy
         } else if added + removed == 0 {
-            let index = self.log.members_index();
+            let index = self.commit;
             return outputs.push(Output::Committed { ticket, index });
         } else {
             return self.change(ticket, members, added + removed == 2);
@@ -166,7 +166,7 @@
     }
 
     pub(super) fn tick_leader(&mut self, outputs: &mut Vec<Output>) {
-        let silence = self.now.saturating_sub(self.quorum_heard());
+        let silence = self.now.saturating_sub(self.quorum_heard(self.now));
         if silence >= self.config.election.start {
             return self.follow(None, outputs);
         }
@@ -270,6 +270,9 @@
     }
 
     pub(super) fn on_matched(&mut self, from: Replica, index: Index, outputs: &mut Vec<Output>) {
+        if index > self.persisted {
+            return;
+        }
         let Some(progress) = self.heard_from(from) else {
             return;
         };
@@ -286,7 +289,7 @@
         (hint, hint_term): (Index, Term),
         outputs: &mut Vec<Output>,
     ) {
-        if hint >= prev || prev.get() >= super::LIMIT {
+        if hint > prev || prev > self.persisted {
             return;
         }
         let next = self.log.find(hint, hint_term).next();
@@ -310,7 +313,7 @@
     fn advance(&mut self, outputs: &mut Vec<Output>) {
         let own = self.config.replica;
         let held = |member: &Replica| match self.lead.progress.get(member) {
-            Some(progress) => progress.matched.min(self.persisted),
+            Some(progress) => progress.matched,
             None if *member == own => self.persisted,
             None => Index::new(0),
         };
@@ -353,15 +356,15 @@
     }
 
     /// When a majority was last in contact with this leader.
-    pub(super) fn quorum_heard(&self) -> Duration {
+    pub(super) fn quorum_heard(&self, now: Duration) -> Duration {
         let own = self.config.replica;
         let heard = |member: &Replica| match self.lead.progress.get(member) {
             Some(progress) => progress.heard,
-            None if *member == own => self.now,
+            None if *member == own => now,
             None => Duration::ZERO,
         };
         let mut times: Vec<_> = self.log.members().iter().map(heard).collect();
         times.sort_unstable_by(|a, b| b.cmp(a));
-        times.get(times.len() / 2).copied().unwrap_or(self.now)
+        times.get(times.len() / 2).copied().unwrap_or(now)
     }
 }
--- a/wisteriaglade-consensus/src/raft/read.rs
+++ b/wisteriaglade-consensus/src/raft/read.rs
@@ -57,7 +57,7 @@
         if self.role != Role::Leader {
             return self.heard.map(|at| now.saturating_sub(at));
         }
-        let age = now.saturating_sub(self.quorum_heard());
+        let age = now.saturating_sub(self.quorum_heard(now));
         if age < self.config.election.start {
             return Some(Duration::ZERO);
         }
--- /dev/null
+++ b/wisteriaglade-consensus/tests/peers.rs
@@ -0,0 +1,135 @@
+//! One replica whose peers are broken or hostile.
+
+mod support;
+
+use std::time::Duration;
+
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+use rstest::rstest;
+use support::replica::*;
+use wisteriaglade_consensus::{Input, Message, Output, Raft, Replica, Role};
+use wisteriaglade_types::{Index, Term};
+
+/// Makes a replica with four entries the leader and one follower need its
+/// snapshot.
+fn lead_and_send_snapshot(raft: &mut Raft) {
+    elect(raft, 3);
+    receive(raft, SECOND_REPLICA, matched(4, 5));
+    let data = vec![0; 9].into();
+    let index = Index::new(5);
+    step(raft, 2 * SECOND, Input::Compact { index, data });
+    let outputs = receive(raft, THIRD_REPLICA, mismatch(4, 4, 0, 0));
+    let chunk = |output: &Output| {
+        matches!(
+            output,
+            Output::Send {
+                message: Message::Chunk { .. },
+                ..
+            }
+        )
+    };
+    assert!(outputs.iter().any(chunk));
+}
+
+/// Guards against responses that name entries or bytes which do not exist.
+#[rstest]
+#[case::matched(matched(4, u64::MAX))]
+#[case::mismatch(mismatch(4, u64::MAX, 0, 0))]
+#[case::hint(mismatch(4, 4, u64::MAX, 3))]
+#[case::received(Message::Received { term: Term::new(4), index: Index::new(5), offset: 10 })]
+#[case::not_a_member(Message::Voted { term: Term::new(4), granted: true })]
+fn leader_ignores_impossible_responses(#[case] message: Message) {
+    let mut probing = restored(&[1, 1, 2, 3], 3);
+    elect(&mut probing, 3);
+    let mut sending = restored(&[1, 1, 2, 3], 3);
+    lead_and_send_snapshot(&mut sending);
+
+    for raft in [&mut probing, &mut sending] {
+        let commit = raft.commit();
+        for from in [SECOND_REPLICA, THIRD_REPLICA, Replica::new(9)] {
+            assert_eq!(receive(raft, from, message.clone()), []);
+        }
+        assert_eq!((raft.role(), raft.commit()), (Role::Leader, commit));
+    }
+}
+
+/// A message with mostly small numbers and some close to the largest.
+fn message(random: &mut StdRng) -> Message {
+    loop {
+        let bytes: Vec<u8> = (0..30)
+            .flat_map(|_| match random.random_range(0..40) {
+                0 => [
+                    vec![0xfd + random.random_range(0..3)],
+                    vec![0xff; 8],
+                    vec![1],
+                ]
+                .concat(),
+                1 => [vec![0xff; 8], vec![random.random_range(0x3f..0x41)]].concat(),
+                _ => vec![random.random_range(0..6)],
+            })
+            .collect();
+        let kind = random.random_range(0..10);
+        let bytes = [vec![kind], bytes].concat();
+        if let Ok((message, _)) = postcard::take_from_bytes(&bytes) {
+            return message;
+        }
+    }
+}
+
+/// Guards against a replica that a broken or hostile peer can stop, and
+/// against a commit index that goes back.
+#[rstest]
+fn survives_any_message(#[values(0, 1, 2, 3)] part: u64) {
+    for seed in (part * 1_000..).take(500) {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut raft = restored(&[1, 1, 2, 3], 3);
+        let mut now = 2 * SECOND;
+        if seed % 2 == 0 {
+            lead_and_send_snapshot(&mut raft);
+        }
+        let mut trace = Vec::new();
+        let check = std::panic::AssertUnwindSafe(|| {
+            let mut applied = raft.commit();
+            for _ in 0..200 {
+                now += Duration::from_millis(random.random_range(0..200));
+                let input = match random.random_range(0..10) {
+                    0 => Input::Tick,
+                    1 => propose(1),
+                    2 => Input::Compact {
+                        index: raft.commit(),
+                        data: vec![0; 9].into(),
+                    },
+                    _ => Input::Message {
+                        from: Replica::new(random.random_range(0..5)),
+                        message: message(&mut random),
+                    },
+                };
+                trace.push(input.clone());
+                for output in step(&mut raft, now, input) {
+                    match output {
+                        Output::Apply(entries) => {
+                            for entry in entries {
+                                assert_eq!(entry.index, applied.next());
+                                applied = entry.index;
+                            }
+                        }
+                        Output::Restore(snapshot) => {
+                            assert!(snapshot.index > applied);
+                            applied = snapshot.index;
+                        }
+                        _ => {}
+                    }
+                }
+                assert_eq!(raft.commit(), applied);
+                assert!(raft.last() >= applied, "a committed entry was removed");
+            }
+        });
+        if let Err(panic) = std::panic::catch_unwind(check) {
+            eprintln!(
+                "seed {seed}, last inputs {:?}",
+                &trace[trace.len().saturating_sub(3)..]
+            );
+            std::panic::resume_unwind(panic);
+        }
+    }
+}
--- a/wisteriaglade-consensus/tests/support/disk.rs
+++ b/wisteriaglade-consensus/tests/support/disk.rs
@@ -51,7 +51,6 @@
     }
 
     /// Changes the bytes of a file behind the back of the storage.
-    #[allow(dead_code, reason = "not every test file damages files")]
     pub fn edit(&self, name: &str, edit: impl FnOnce(&mut Vec<u8>)) {
         let mut state = self.0.borrow_mut();
         let file = state.names[name];
@@ -59,7 +58,6 @@
     }
 
     /// An independent copy.
-    #[allow(dead_code, reason = "not every test file copies a disk")]
     pub fn copy(&self) -> Self {
         let state = self.0.borrow();
         Self(Rc::new(RefCell::new(State {
--- /dev/null
+++ b/wisteriaglade-consensus/tests/support/node.rs
@@ -0,0 +1,167 @@
+//! One replica with its disk and state machine.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rand::{RngExt as _, rngs::StdRng};
+use wisteriaglade_consensus::{
+    Change, Config, Entry, Message, Payload, Raft, Replica, Snapshot, Vote,
+    storage::{Kind, Storage},
+};
+use wisteriaglade_types::{Index, Term};
+
+use super::{
+    disk::Memory,
+    history::{History, value},
+};
+
+/// A size that makes the storage use several segments.
+const SEGMENT: u64 = 2_000;
+
+/// One replica that is running.
+#[derive(Debug)]
+pub struct Running {
+    pub raft: Raft,
+    storage: Storage<Memory>,
+    /// What the storage has confirmed.
+    vote: Vote,
+    log: BTreeMap<Index, Term>,
+    /// The state machine: the values in the order of their commit.
+    pub applied: Index,
+    pub values: Vec<u64>,
+}
+
+/// One replica, running or not.
+#[derive(Debug)]
+pub struct Node {
+    pub id: Replica,
+    pub config: Config,
+    pub disk: Memory,
+    pub running: Option<Running>,
+    pub restart: Duration,
+    /// How often a snapshot replaced the state machine.
+    pub restored: usize,
+}
+
+impl Node {
+    pub fn new(id: Replica, config: Config) -> Self {
+        Self {
+            id,
+            config,
+            disk: Memory::default(),
+            running: None,
+            restart: Duration::ZERO,
+            restored: 0,
+        }
+    }
+
+    /// Loses everything that was not synced.
+    pub fn crash(&mut self, restart: Duration, random: &mut StdRng) {
+        self.running = None;
+        self.restart = restart;
+        self.disk.crash(random);
+    }
+
+    /// Starts from what the disk holds, unless the disk fails at that moment.
+    pub fn start(&mut self, now: Duration, random: &mut StdRng) {
+        let (storage, restored) = match Storage::with(self.disk.clone()) {
+            Ok(opened) => opened,
+            Err(error) if error.kind() == Kind::Io => return self.crash(now, random),
+            Err(error) => panic!("replica {}: {error}", self.id),
+        };
+        let terms = restored
+            .entries
+            .iter()
+            .map(|entry| (entry.index, entry.term));
+        let mut log: BTreeMap<_, _> = terms.collect();
+        if let Some(snapshot) = &restored.snapshot {
+            log.insert(snapshot.index, snapshot.term);
+        }
+        let vote = restored.vote;
+        let config = self.config.clone().seed(random.random());
+        self.running = Some(Running {
+            raft: Raft::new(config, restored, now),
+            storage: storage.segment(SEGMENT),
+            vote,
+            log,
+            applied: Index::new(0),
+            values: Vec::new(),
+        });
+    }
+}
+
+impl Running {
+    /// Returns false when the disk has failed.
+    pub fn persist(&mut self, change: &Change, history: &mut History) -> bool {
+        if self.storage.persist(change).is_err() {
+            return false;
+        }
+        match change {
+            Change::Vote(vote) => self.vote = *vote,
+            Change::Truncate(from) => {
+                self.log.split_off(from);
+            }
+            Change::Append(entries) => entries.iter().for_each(|e| self.write(e, history)),
+            Change::Compact(_) => {}
+            Change::Install(Snapshot { index, term, .. }) => {
+                self.log = [(*index, *term)].into();
+            }
+        }
+        true
+    }
+
+    fn write(&mut self, entry: &Entry, history: &mut History) {
+        let before = Index::new(entry.index.get() - 1);
+        let before = self.log.get(&before).copied();
+        assert!(
+            before.is_some() || entry.index.get() == 1,
+            "a gap in the log"
+        );
+        history.write(entry, before.unwrap_or_default());
+        self.log.insert(entry.index, entry.term);
+    }
+
+    /// Sync before answer: a message promises only what is on the disk.
+    pub fn check(&self, to: Replica, message: &Message) {
+        match message {
+            Message::Matched { index, .. } => {
+                let last = self.log.keys().next_back().copied().unwrap_or_default();
+                assert!(*index <= last, "{index} was acknowledged before its sync");
+            }
+            Message::Voted { term, granted } if *granted => {
+                let voted = Some(to);
+                assert_eq!(
+                    self.vote,
+                    Vote { term: *term, voted },
+                    "a vote without sync"
+                );
+            }
+            Message::PreVote { .. } | Message::PreVoted { .. } => return,
+            _ => {}
+        }
+        assert!(message.term() <= self.vote.term, "a term without sync");
+    }
+
+    pub fn apply(&mut self, entries: &[Entry], history: &mut History) {
+        for entry in entries {
+            assert_eq!(entry.index, self.applied.next(), "a gap in what is applied");
+            history.commit(entry);
+            self.applied = entry.index;
+            if let Payload::Data(data) = &entry.payload {
+                self.values.push(value(data));
+            }
+        }
+    }
+
+    pub fn restore(&mut self, snapshot: &Snapshot) {
+        assert!(
+            snapshot.index >= self.applied,
+            "the state machine went back"
+        );
+        self.applied = snapshot.index;
+        self.values = snapshot.data.chunks(8).map(value).collect();
+    }
+
+    pub fn image(&self) -> Vec<u8> {
+        self.values.iter().flat_map(|v| v.to_le_bytes()).collect()
+    }
+}
--- /dev/null
+++ b/wisteriaglade-consensus/tests/support/replica.rs
@@ -0,0 +1,95 @@
+//! One replica that is fed messages by hand.
+
+use std::time::Duration;
+
+use wisteriaglade_consensus::{
+    Config, Entry, Input, Message, Output, Payload, Raft, Replica, Restored, Role, Vote,
+};
+use wisteriaglade_types::{Index, Term};
+
+pub const SECOND: Duration = Duration::from_secs(1);
+pub const OWN: Replica = Replica::new(1);
+pub const SECOND_REPLICA: Replica = Replica::new(2);
+pub const THIRD_REPLICA: Replica = Replica::new(3);
+
+pub fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index: Index::new(index),
+        term: Term::new(term),
+        payload: Payload::Data(vec![1; 8].into()),
+    }
+}
+
+/// A member of a group of three whose log has entries of these terms.
+pub fn restored(terms: &[u64], vote: u64) -> Raft {
+    let entries = (1..).zip(terms).map(|(index, term)| entry(index, *term));
+    let restored = Restored {
+        vote: Vote {
+            term: Term::new(vote),
+            voted: None,
+        },
+        snapshot: None,
+        entries: entries.collect(),
+    };
+    let members = [OWN, SECOND_REPLICA, THIRD_REPLICA];
+    Raft::new(
+        Config::new(OWN, members).window(4).retain(2),
+        restored,
+        Duration::ZERO,
+    )
+}
+
+pub fn step(raft: &mut Raft, now: Duration, input: Input) -> Vec<Output> {
+    let mut outputs = Vec::new();
+    raft.step(now, input, &mut outputs);
+    outputs
+}
+
+pub fn receive(raft: &mut Raft, from: Replica, message: Message) -> Vec<Output> {
+    step(raft, 2 * SECOND, Input::Message { from, message })
+}
+
+pub fn matched(term: u64, index: u64) -> Message {
+    Message::Matched {
+        term: Term::new(term),
+        index: Index::new(index),
+    }
+}
+
+pub fn mismatch(term: u64, prev: u64, hint: u64, hint_term: u64) -> Message {
+    Message::Mismatch {
+        term: Term::new(term),
+        prev: Index::new(prev),
+        hint: Index::new(hint),
+        hint_term: Term::new(hint_term),
+    }
+}
+
+/// An append of entries of these terms after an index and its term.
+pub fn append(term: u64, (prev, prev_term): (u64, u64), commit: u64, terms: &[u64]) -> Message {
+    let entries = (prev + 1..)
+        .zip(terms)
+        .map(|(index, term)| entry(index, *term));
+    Message::Append {
+        term: Term::new(term),
+        prev: Index::new(prev),
+        prev_term: Term::new(prev_term),
+        commit: Index::new(commit),
+        entries: entries.collect(),
+    }
+}
+
+/// Makes a replica the leader of the term after `term`.
+pub fn elect(raft: &mut Raft, term: u64) {
+    let term = Term::new(term + 1);
+    let granted = true;
+    step(raft, 2 * SECOND, Input::Tick);
+    receive(raft, SECOND_REPLICA, Message::PreVoted { term, granted });
+    receive(raft, SECOND_REPLICA, Message::Voted { term, granted });
+    assert_eq!(raft.role(), Role::Leader);
+}
+
+pub fn propose(ticket: u64) -> Input {
+    let data = vec![0; 8].into();
+    Input::Propose { ticket, data }
+}
