Correct five cases in which the router refused or blamed wrongly

The next request of an idle class now runs whatever the estimate says, and cancelled work raises the estimate. - Waiting long work counted as a standing queue, so short work was served freshest first for no reason. - Failures of work at an earlier target made its successor suspect. - A leaving target admitted work that it could not start within the grace period, and held it until the end of that period. - A cold target that had not answered yet became suspect during its cold start.

--- a/wisteriaglade-router/src/lengths.rs
+++ b/wisteriaglade-router/src/lengths.rs
@@ -113,8 +113,13 @@
     }
 
     /// Records the busy time of a request that was cancelled. It is a lower
-    /// bound and says something only when it is long.
+    /// bound and says something only when it is long. Leaving it out would let
+    /// the estimates of a target that became slow rest on its fastest answers.
     pub(crate) fn observe_cancelled(&mut self, job: &Job, busy: Duration) {
+        let short = job.waiting.class == Class::Short;
+        if short && self.short.median().is_some_and(|usual| busy > usual) {
+            self.short.push(busy);
+        }
         if self.threshold().is_some_and(|limit| busy >= limit) {
             self.learn(job, busy);
         }
--- a/wisteriaglade-router/src/limit.rs
+++ b/wisteriaglade-router/src/limit.rs
@@ -94,7 +94,7 @@
     pub(crate) fn next(&self, now: Duration) -> Option<Duration> {
         let brake = self.brake.as_ref().map(Brake::until);
         let cold = self.cold.and_then(|(from, time)| {
-            let reached = self.cold_cap(now)?;
+            let reached = self.cold_cap(now)?.max(1);
             Some(from + time * (reached + 1) / self.slots)
         });
         let reported = self.reported.map(|(_, until)| until);
--- a/wisteriaglade-router/src/queue.rs
+++ b/wisteriaglade-router/src/queue.rs
@@ -39,7 +39,8 @@
     tenants: BTreeMap<Name, Tenant>,
     places: BTreeMap<Request, Place>,
     latest: BTreeSet<(Duration, Request)>,
-    arrived: BTreeSet<(Duration, Request)>,
+    /// By arrival, for each class.
+    arrived: [BTreeSet<(Duration, Request)>; 2],
     waiting: [usize; 2],
 }
 
@@ -55,7 +56,7 @@
             tenants: BTreeMap::new(),
             places: BTreeMap::new(),
             latest: BTreeSet::new(),
-            arrived: BTreeSet::new(),
+            arrived: [BTreeSet::new(), BTreeSet::new()],
             waiting: [0; 2],
         }
     }
@@ -83,10 +84,10 @@
         self.latest.first().map(|(latest, _)| *latest)
     }
 
-    /// The request that waits the longest, with its arrival and its last
+    /// The arrival of the short request that waits the longest, and its last
     /// useful moment of dispatch.
-    pub(crate) fn oldest(&self) -> Option<(Duration, Duration)> {
-        let (arrived, request) = self.arrived.first()?;
+    pub(crate) fn oldest_short(&self) -> Option<(Duration, Duration)> {
+        let (arrived, request) = self.arrived[Class::Short.index()].first()?;
         Some((*arrived, self.places.get(request)?.latest))
     }
 
@@ -125,7 +126,7 @@
         flow.push(self.sequence, waiting);
         self.sequence += 1;
         self.latest.insert((place.latest, request));
-        self.arrived.insert((place.arrived, request));
+        self.arrived[place.class.index()].insert((place.arrived, request));
         self.places.insert(request, place);
     }
 
@@ -201,7 +202,7 @@
 
     /// Removes any request.
     pub(crate) fn any(&mut self) -> Option<Waiting> {
-        let (_, request) = *self.arrived.first()?;
+        let (_, request) = *self.arrived.iter().find_map(BTreeSet::first)?;
         self.remove(request)
     }
 
@@ -306,7 +307,7 @@
             return;
         };
         self.latest.remove(&(place.latest, request));
-        self.arrived.remove(&(place.arrived, request));
+        self.arrived[place.class.index()].remove(&(place.arrived, request));
         self.waiting[place.class.index()] -= 1;
         let Some(tenant) = self.tenants.get_mut(&place.member) else {
             return;
--- a/wisteriaglade-router/src/router.rs
+++ b/wisteriaglade-router/src/router.rs
@@ -1,23 +1,21 @@
 //! The reducer.
 
+mod admission;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use wisteriaglade_types::{Name, Request};
 
 use crate::{
-    Arrival, Capacity, Class, Config, Effect, Event, Finish, Policy, Reason, Report, Summary,
-    Usage, job::Job, ledger::Ledger, lengths::Lengths, queue::Queue, running::Running,
-    standing::Standing, target::Target, waiting::Waiting,
+    Capacity, Class, Config, Effect, Event, Finish, Policy, Reason, Report, Summary, Usage,
+    job::Job, ledger::Ledger, lengths::Lengths, queue::Queue, running::Running, standing::Standing,
+    target::Target, waiting::Waiting,
 };
 
 /// The retry-after time of refusals whose cause ends within moments: a move of
 /// the shard takes less than a second.
 const SOON: Duration = Duration::from_millis(250);
 
-/// The range of estimated retry-after times. Below, retries would only add
-/// load; above, the estimate says nothing.
-const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(10), Duration::from_secs(10)];
-
 /// Admission, fairness and limits for the target beside one node.
 ///
 /// # Example
@@ -75,7 +73,7 @@
         self.expire(now, effects);
         if self.adaptive() {
             self.reclassify(now);
-            self.standing.update(now, self.queue.oldest());
+            self.standing.update(now, self.queue.oldest_short());
             self.watch(now, effects);
         }
         self.dispatch(now, effects);
@@ -122,132 +120,6 @@
         self.ledger.all()
     }
 
-    fn arrive(&mut self, now: Duration, arrival: Arrival, effects: &mut Vec<Effect>) {
-        if self.queue.contains(arrival.request) || self.running.contains(arrival.request) {
-            return;
-        }
-        self.ledger.of(&arrival.member).arrivals += 1;
-        let class = match self.config.policy {
-            Policy::Adaptive => self.lengths.class(&arrival),
-            Policy::Baseline => Class::Short,
-        };
-        let expected = match self.config.policy {
-            Policy::Adaptive => self.lengths.expected(class),
-            Policy::Baseline => Duration::ZERO,
-        };
-        let waiting = Waiting {
-            class,
-            arrived: now,
-            expected,
-            arrival,
-        };
-        if let Some(reason) = self.closed(now) {
-            return self.refuse(&waiting, reason, Some(SOON), effects);
-        }
-        let admitted = if self.adaptive() {
-            self.fit(now, &waiting, effects) && self.make_room(now, &waiting, effects)
-        } else if self.queue.len() >= self.config.queue {
-            self.refuse(&waiting, Reason::Full, Some(SOON), effects);
-            false
-        } else {
-            true
-        };
-        if admitted {
-            self.queue.push(waiting);
-        }
-    }
-
-    /// Why no request is admitted at all.
-    fn closed(&self, now: Duration) -> Option<Reason> {
-        let Some(target) = &self.target else {
-            return Some(Reason::Absent);
-        };
-        if self.left(now) {
-            return Some(Reason::Draining);
-        }
-        // A suspected target gets one request at a time as a trial.
-        let free = self.queue.len() == 0 && self.running.total() < self.limit(now);
-        let trial = free && target.try_now(now);
-        (target.suspect() && !trial).then_some(Reason::Unresponsive)
-    }
-
-    /// Refuses a request whose expected wait does not fit its deadline. In a
-    /// standing queue only half of the time may be spent waiting, and the
-    /// oldest request of the same caller gives way to the new one.
-    fn fit(&mut self, now: Duration, waiting: &Waiting, effects: &mut Vec<Effect>) -> bool {
-        let wait = self.expected_wait(now, waiting);
-        let left = waiting.latest().saturating_sub(now);
-        let fresh = self.freshest(now);
-        let most = if fresh { left / 2 } else { left };
-        if wait <= most && !left.is_zero() {
-            return true;
-        }
-        let retry_after = Some(
-            wait.saturating_sub(most)
-                .clamp(RETRY_AFTER[0], RETRY_AFTER[1]),
-        );
-        let arrival = &waiting.arrival;
-        if fresh
-            && !left.is_zero()
-            && waiting.class == Class::Short
-            && let Some(old) = self.queue.evict_oldest(&arrival.member, &arrival.caller)
-        {
-            self.refuse(&old, Reason::Overload, retry_after, effects);
-            return true;
-        }
-        self.refuse(waiting, Reason::Deadline, retry_after, effects);
-        false
-    }
-
-    /// Refuses a request of the member that is the furthest over its share
-    /// when the queue is full.
-    fn make_room(&mut self, now: Duration, waiting: &Waiting, effects: &mut Vec<Effect>) -> bool {
-        let member = &waiting.arrival.member;
-        let victim = if self.queue.member_len(member) >= self.config.member_queue {
-            member.clone()
-        } else if self.queue.len() >= self.config.queue {
-            self.queue.furthest(member, waiting.arrival.weight)
-        } else {
-            return true;
-        };
-        let wait = self.expected_wait(now, waiting);
-        let retry_after = Some(wait.clamp(RETRY_AFTER[0], RETRY_AFTER[1]));
-        let fresh = self.freshest(now);
-        if (victim != *member || fresh)
-            && let Some(evicted) = self.queue.evict(&victim, fresh)
-        {
-            self.refuse(&evicted, Reason::Full, retry_after, effects);
-            return true;
-        }
-        self.refuse(waiting, Reason::Full, retry_after, effects);
-        false
-    }
-
-    /// The expected wait of a new request, from the work ahead of it and the
-    /// slots that its class can use.
-    fn expected_wait(&self, now: Duration, waiting: &Waiting) -> Duration {
-        let class = waiting.class;
-        let limit = self.limit(now);
-        let pause = self
-            .target
-            .as_ref()
-            .map_or(Duration::ZERO, |t| t.pause(now));
-        let slots = match class {
-            Class::Short => limit.saturating_sub(self.running.count(Class::Long)),
-            Class::Long => self.long_limit(now),
-        };
-        let free = self.running.total() < limit && self.running.count(class) < slots;
-        if free && self.queue.waiting(class) == 0 {
-            return Duration::ZERO;
-        }
-        let arrival = &waiting.arrival;
-        let ahead = self
-            .queue
-            .ahead(&arrival.member, &arrival.caller, arrival.weight, class);
-        let ahead = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        pause + waiting.expected.saturating_mul(ahead) / slots.max(1)
-    }
-
     fn finish(
         &mut self,
         now: Duration,
@@ -275,7 +147,9 @@
         self.queue.charge(&job.waiting, job.charged, busy);
         let binding = self.queue.waiting(Class::Short) > 0;
         let (lengths, running) = (&self.lengths, &self.running);
+        // Work of an earlier target says nothing about this one.
         let target = self.target.as_mut();
+        let target = target.filter(|t| t.announced() <= job.started);
         let recovered =
             target.is_some_and(|t| t.ended(now, &job, result, lengths, running, binding));
         if recovered {
@@ -373,7 +247,8 @@
             let Some(waiting) = self.queue.pop(allowed, cost, fresh) else {
                 return;
             };
-            if self.adaptive() && waiting.arrival.deadline < now + cost[waiting.class.index()] {
+            let late = waiting.arrival.deadline < now + cost[waiting.class.index()];
+            if late && !waiting.expected.is_zero() {
                 // The expected service time has grown since the arrival.
                 self.refuse(&waiting, Reason::Expired, Some(SOON), effects);
                 continue;
--- /dev/null
+++ b/wisteriaglade-router/src/router/admission.rs
@@ -0,0 +1,153 @@
+//! Which new requests are admitted.
+
+use std::time::Duration;
+
+use super::{Router, SOON};
+use crate::{Arrival, Class, Effect, Reason, waiting::Waiting};
+
+/// The range of estimated retry-after times. Below, retries would only add
+/// load; above, the estimate says nothing.
+const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(10), Duration::from_secs(10)];
+
+impl Router {
+    pub(super) fn arrive(&mut self, now: Duration, arrival: Arrival, effects: &mut Vec<Effect>) {
+        if self.queue.contains(arrival.request) || self.running.contains(arrival.request) {
+            return;
+        }
+        self.ledger.of(&arrival.member).arrivals += 1;
+        let (class, expected) = self.expect(now, &arrival);
+        let waiting = Waiting {
+            class,
+            arrived: now,
+            expected,
+            arrival,
+        };
+        if let Some(reason) = self.closed(now) {
+            return self.refuse(&waiting, reason, Some(SOON), effects);
+        }
+        let admitted = if self.adaptive() {
+            self.fit(now, &waiting, effects) && self.make_room(now, &waiting, effects)
+        } else if self.queue.len() >= self.config.queue {
+            self.refuse(&waiting, Reason::Full, Some(SOON), effects);
+            false
+        } else {
+            true
+        };
+        if admitted {
+            self.queue.push(waiting);
+        }
+    }
+
+    /// The class and the expected service time of a new request. Nothing is
+    /// expected of a class that is idle: its next request runs at once whatever
+    /// the estimate says, since an estimate from a slow period would otherwise
+    /// never be corrected.
+    fn expect(&self, now: Duration, arrival: &Arrival) -> (Class, Duration) {
+        if !self.adaptive() {
+            return (Class::Short, Duration::ZERO);
+        }
+        let class = self.lengths.class(arrival);
+        let idle = self.running.count(class) == 0 && self.queue.waiting(class) == 0;
+        if idle && self.running.total() < self.limit(now) {
+            (class, Duration::ZERO)
+        } else {
+            (class, self.lengths.expected(class))
+        }
+    }
+
+    /// Why no request is admitted at all.
+    fn closed(&self, now: Duration) -> Option<Reason> {
+        let Some(target) = &self.target else {
+            return Some(Reason::Absent);
+        };
+        if self.left(now) {
+            return Some(Reason::Draining);
+        }
+        // A suspected target gets one request at a time as a trial.
+        let free = self.queue.len() == 0 && self.running.total() < self.limit(now);
+        let trial = free && target.try_now(now);
+        (target.suspect() && !trial).then_some(Reason::Unresponsive)
+    }
+
+    /// Refuses a request whose expected wait does not fit its deadline. In a
+    /// standing queue only half of the time may be spent waiting, and the
+    /// oldest request of the same caller gives way to the new one.
+    fn fit(&mut self, now: Duration, waiting: &Waiting, effects: &mut Vec<Effect>) -> bool {
+        let wait = self.expected_wait(now, waiting);
+        let left = waiting.latest().saturating_sub(now);
+        let fresh = self.freshest(now);
+        let most = if fresh { left / 2 } else { left };
+        let leaving = self.draining.map(|at| at + self.config.grace);
+        if leaving.is_some_and(|at| now + wait >= at) {
+            self.refuse(waiting, Reason::Draining, Some(SOON), effects);
+            return false;
+        }
+        if wait <= most && !left.is_zero() {
+            return true;
+        }
+        let retry_after = Some(
+            wait.saturating_sub(most)
+                .clamp(RETRY_AFTER[0], RETRY_AFTER[1]),
+        );
+        let arrival = &waiting.arrival;
+        if fresh
+            && !left.is_zero()
+            && waiting.class == Class::Short
+            && let Some(old) = self.queue.evict_oldest(&arrival.member, &arrival.caller)
+        {
+            self.refuse(&old, Reason::Overload, retry_after, effects);
+            return true;
+        }
+        self.refuse(waiting, Reason::Deadline, retry_after, effects);
+        false
+    }
+
+    /// Refuses a request of the member that is the furthest over its share
+    /// when the queue is full.
+    fn make_room(&mut self, now: Duration, waiting: &Waiting, effects: &mut Vec<Effect>) -> bool {
+        let member = &waiting.arrival.member;
+        let victim = if self.queue.member_len(member) >= self.config.member_queue {
+            member.clone()
+        } else if self.queue.len() >= self.config.queue {
+            self.queue.furthest(member, waiting.arrival.weight)
+        } else {
+            return true;
+        };
+        let wait = self.expected_wait(now, waiting);
+        let retry_after = Some(wait.clamp(RETRY_AFTER[0], RETRY_AFTER[1]));
+        let fresh = self.freshest(now);
+        if (victim != *member || fresh)
+            && let Some(evicted) = self.queue.evict(&victim, fresh)
+        {
+            self.refuse(&evicted, Reason::Full, retry_after, effects);
+            return true;
+        }
+        self.refuse(waiting, Reason::Full, retry_after, effects);
+        false
+    }
+
+    /// The expected wait of a new request, from the work ahead of it and the
+    /// slots that its class can use.
+    fn expected_wait(&self, now: Duration, waiting: &Waiting) -> Duration {
+        let class = waiting.class;
+        let limit = self.limit(now);
+        let pause = self
+            .target
+            .as_ref()
+            .map_or(Duration::ZERO, |t| t.pause(now));
+        let slots = match class {
+            Class::Short => limit.saturating_sub(self.running.count(Class::Long)),
+            Class::Long => self.long_limit(now),
+        };
+        let free = self.running.total() < limit && self.running.count(class) < slots;
+        if free && self.queue.waiting(class) == 0 {
+            return Duration::ZERO;
+        }
+        let arrival = &waiting.arrival;
+        let ahead = self
+            .queue
+            .ahead(&arrival.member, &arrival.caller, arrival.weight, class);
+        let ahead = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
+        pause + waiting.expected.saturating_mul(ahead) / slots.max(1)
+    }
+}
--- a/wisteriaglade-router/src/target.rs
+++ b/wisteriaglade-router/src/target.rs
@@ -14,6 +14,7 @@
 #[derive(Debug)]
 pub(crate) struct Target {
     adaptive: bool,
+    announced: Duration,
     capacity: Capacity,
     limit: Limit,
     watch: Watch,
@@ -25,14 +26,20 @@
     pub(crate) fn new(now: Duration, capacity: Capacity, config: &Config) -> Self {
         Self {
             adaptive: config.policy == Policy::Adaptive,
+            announced: now,
             limit: Limit::new(&capacity, now),
-            watch: Watch::new(config.silence),
+            watch: Watch::new(config.silence, now + capacity.cold_start),
             trust: Trust::new(now),
             warm: Warm::new(now, config.warm_rate, capacity.connections.max(1)),
             capacity,
         }
     }
 
+    /// When the target was announced.
+    pub(crate) const fn announced(&self) -> Duration {
+        self.announced
+    }
+
     pub(crate) const fn capacity(&self) -> &Capacity {
         &self.capacity
     }
--- a/wisteriaglade-router/src/watch.rs
+++ b/wisteriaglade-router/src/watch.rs
@@ -30,6 +30,8 @@
 pub(crate) struct Watch {
     /// The shortest silence that leads to suspicion.
     silence: Duration,
+    /// Silence counts from here on: a cold target answers late.
+    from: Duration,
     /// The last answer, or the first dispatch after an idle period.
     quiet: Option<Duration>,
     failures: u32,
@@ -39,9 +41,10 @@
 }
 
 impl Watch {
-    pub(crate) const fn new(silence: Duration) -> Self {
+    pub(crate) const fn new(silence: Duration, from: Duration) -> Self {
         Self {
             silence,
+            from,
             quiet: None,
             failures: 0,
             suspect: false,
@@ -144,6 +147,7 @@
             let time = long.max(self.silence * 2);
             quiet.max(at) + patience(time)
         });
-        [together, alone, long].into_iter().flatten().min()
+        let due = [together, alone, long].into_iter().flatten().min();
+        due.map(|due| due.max(self.from))
     }
 }
--- a/wisteriaglade-router/tests/admission.rs
+++ b/wisteriaglade-router/tests/admission.rs
@@ -245,3 +245,136 @@
     assert_eq!(class(&second), Class::Long);
     assert_eq!(class(&other), Class::Short);
 }
+
+/// Guards against an estimate from a slow period that keeps out all work with
+/// shorter deadlines, so that it is never corrected.
+#[rstest]
+#[case(Length::Short)]
+#[case(Length::Long)]
+fn an_idle_target_is_tried_despite_the_estimate(#[case] length: Length) {
+    let mut router = router(6, Config::default());
+    let mut now = Duration::ZERO;
+    let finish = |id| Event::Finish {
+        request: Request::new(id),
+        result: Finish::Served,
+    };
+    for id in 0..10 {
+        step(&mut router, now, arrival(id, "a", length));
+        now += 90 * MS;
+        step(&mut router, now, finish(id));
+    }
+
+    // 50 ms are left until the deadline, and the estimate is 90 ms.
+    let first = step(&mut router, now + 50 * MS, arrival(20, "a", length));
+    let second = step(&mut router, now + 50 * MS, arrival(21, "a", length));
+
+    assert!(dispatched(&first, 20), "{first:?}");
+    assert_eq!(refused(&second, 21), Some(Reason::Deadline));
+}
+
+/// Guards against full load on a target that has just started.
+#[test]
+fn a_cold_target_is_ramped_up() {
+    let mut router = Router::new(Config {
+        warm_rate: 1,
+        ..Config::default()
+    });
+    let capacity = Capacity {
+        slots: 10,
+        connections: 110,
+        cold_start: 1000 * MS,
+    };
+    step(&mut router, Duration::ZERO, Event::Target(Some(capacity)));
+    for id in 0..20 {
+        step(&mut router, MS, arrival(id, "a", Length::Short));
+    }
+
+    let woken = router.wake();
+    let limits = [1, 499, 501, 999].map(|at| {
+        step(&mut router, at * MS, Event::Tick);
+        router.summary().running_short
+    });
+
+    assert_eq!(woken, Some(200 * MS), "when the limit rises to 2");
+    assert_eq!(limits, [1, 4, 5, 9]);
+}
+
+/// Guards against failures of work at an earlier target that make the one that
+/// took its place suspect.
+#[test]
+fn a_new_target_is_not_blamed_for_the_old_one() {
+    let mut router = router(6, Config::default());
+    for id in 0..6 {
+        step(&mut router, MS, arrival(id, "a", Length::Short));
+    }
+    let capacity = Capacity {
+        slots: 6,
+        connections: 110,
+        cold_start: Duration::ZERO,
+    };
+    step(&mut router, 2 * MS, Event::Target(None));
+    step(&mut router, 3 * MS, Event::Target(Some(capacity)));
+
+    let effects = (0..6).flat_map(|id| {
+        let request = Request::new(id);
+        let result = Finish::Failed;
+        step(&mut router, 4 * MS, Event::Finish { request, result })
+    });
+
+    assert_eq!(effects.collect::<Vec<_>>(), []);
+}
+
+/// Guards against work that waits for a leaving target although it cannot be
+/// dispatched within the grace period.
+#[test]
+fn a_leaving_target_admits_only_what_it_can_start() {
+    let config = Config {
+        grace: 200 * MS,
+        ..Config::default()
+    };
+    let mut router = router(1, config);
+    for id in 0..10 {
+        step(
+            &mut router,
+            30 * MS * id,
+            arrival(id.into(), "a", Length::Short),
+        );
+        let (request, result) = (Request::new(id.into()), Finish::Served);
+        step(
+            &mut router,
+            30 * MS * (id + 1),
+            Event::Finish { request, result },
+        );
+    }
+    step(&mut router, 300 * MS, Event::Drain);
+
+    let arrive = |id: u128| step(&mut router, 300 * MS, arrival(id, "a", Length::Short));
+    let effects: Vec<_> = (20..40).flat_map(arrive).collect();
+
+    let admitted = (20..40)
+        .filter(|id| refused(&effects, *id).is_none())
+        .count();
+    assert!(
+        (6..=8).contains(&admitted),
+        "200 ms hold 6 of 30 ms: {effects:?}"
+    );
+    assert_eq!(refused(&effects, 39), Some(Reason::Draining));
+}
+
+/// Guards against short work that is served freshest first because long work
+/// waits.
+#[test]
+fn waiting_long_work_does_not_reverse_short_work() {
+    let mut router = router(2, Config::default());
+    for id in 0..4 {
+        step(&mut router, MS, arrival(id, "a", Length::Long));
+    }
+    step(&mut router, 500 * MS, arrival(10, "a", Length::Short));
+    step(&mut router, 650 * MS, arrival(11, "a", Length::Short));
+    step(&mut router, 651 * MS, arrival(12, "a", Length::Short));
+
+    let (request, result) = (Request::new(10), Finish::Served);
+    let effects = step(&mut router, 652 * MS, Event::Finish { request, result });
+
+    assert!(dispatched(&effects, 11), "{effects:?}");
+}
