Check the invariants of the router under random events

Each arrival must get exactly one decision, whatever the order of finishes, departures, reports, announcements and drains; and the timer must advance.

--- /dev/null
+++ b/wisteriaglade-router/tests/invariants.rs
@@ -0,0 +1,175 @@
+//! Random events in any order: what must hold after each step.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rstest::rstest;
+use wisteriaglade_router::{
+    Arrival, Capacity, Config, Effect, Event, Finish, Length, Policy, Report, Router,
+};
+use wisteriaglade_types::{Hash, Name, Request};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// What the driver knows.
+#[derive(Default)]
+struct Driver {
+    now: Duration,
+    next: u128,
+    undecided: BTreeSet<Request>,
+    /// Dispatched requests, and whether they were cancelled.
+    running: BTreeMap<Request, bool>,
+    capacity: Option<Capacity>,
+    drained: Option<Duration>,
+}
+
+impl Driver {
+    fn event(&mut self, random: &mut StdRng) -> Event {
+        let roll = random.random_range(0..1000);
+        match roll {
+            0..450 => Event::Arrive(self.arrival(random)),
+            450..850 => self.finish(random),
+            850..900 => {
+                let request = Request::new(random.random_range(0..=self.next));
+                Event::Depart { request }
+            }
+            900..930 => Event::Report(Report {
+                running: random.random_range(0..20),
+                queued: random.random_range(0..20),
+                healthy: random.random(),
+            }),
+            930..932 => {
+                self.drained = self.drained.or(Some(self.now));
+                Event::Drain
+            }
+            932..935 => {
+                (self.capacity, self.drained) = (None, None);
+                Event::Target(None)
+            }
+            935..945 => {
+                self.capacity = Some(Capacity {
+                    slots: random.random_range(0..13),
+                    connections: random.random_range(0..20),
+                    cold_start: MS * random.random_range(0..200),
+                });
+                Event::Target(self.capacity)
+            }
+            _ => Event::Tick,
+        }
+    }
+
+    fn arrival(&mut self, random: &mut StdRng) -> Arrival {
+        let request = Request::new(self.next);
+        self.next += 1;
+        self.undecided.insert(request);
+        let lengths = [Length::Short, Length::Long, Length::Learned];
+        Arrival {
+            request,
+            member: Name::from(["a", "b", "c"][random.random_range(0..3)]),
+            caller: Name::from(format!("{}", random.random_range(0..9))),
+            route: random.random_range(0..4),
+            key: Hash::new(random.random_range(0..50)),
+            weight: random.random_range(0..4),
+            length: lengths[random.random_range(0..3)],
+            deadline: self.now + MS * random.random_range(0..2000),
+        }
+    }
+
+    fn finish(&mut self, random: &mut StdRng) -> Event {
+        let at = random.random_range(0..=self.running.len());
+        let unknown = Request::new(u128::MAX);
+        let request = self.running.keys().nth(at).copied().unwrap_or(unknown);
+        self.running.remove(&request);
+        let retry_after = random
+            .random::<bool>()
+            .then(|| MS * random.random_range(0..50));
+        let result = match random.random_range(0..20) {
+            0 => Finish::Shed { retry_after },
+            1 => Finish::Failed,
+            2 => Finish::Cancelled,
+            _ => Finish::Served,
+        };
+        Event::Finish { request, result }
+    }
+
+    fn check(&mut self, effects: &[Effect], config: &Config) {
+        for effect in effects {
+            match effect {
+                Effect::Dispatch { request, .. } => {
+                    assert!(self.undecided.remove(request), "{effect:?}");
+                    assert!(self.capacity.is_some(), "{effect:?} without a target");
+                    let left = self.drained.is_some_and(|at| self.now >= at + config.grace);
+                    assert!(!left, "{effect:?} to a target that has left");
+                    self.running.insert(*request, false);
+                    let Capacity {
+                        slots, connections, ..
+                    } = self.capacity.unwrap();
+                    let most = (2 * slots.max(1)).min(connections.max(1));
+                    assert!(self.running.len() <= most as usize, "{effect:?}");
+                }
+                Effect::Refuse { request, .. } => {
+                    assert!(self.undecided.remove(request), "{effect:?}");
+                }
+                Effect::Cancel { request, .. } => {
+                    let cancelled = self.running.insert(*request, true);
+                    assert_eq!(cancelled, Some(false), "{effect:?}");
+                }
+                Effect::Warm { .. } | Effect::Suspect | Effect::Recovered => {}
+            }
+        }
+    }
+}
+
+/// Guards against a request without a decision or with two, against a
+/// cancellation of work that does not run, against work for a target that is
+/// absent or has left, and against a timer that never advances.
+#[rstest]
+#[case(Policy::Adaptive)]
+#[case(Policy::Baseline)]
+fn every_arrival_gets_one_decision(#[case] policy: Policy, #[values(1, 2, 3, 4)] seed: u64) {
+    let config = Config {
+        policy,
+        queue: 40,
+        member_queue: 30,
+        callers: 4,
+        grace: 100 * MS,
+        ..Config::default()
+    };
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut router = Router::new(config.clone());
+    let mut driver = Driver::default();
+    let mut effects = Vec::new();
+
+    for _ in 0..20_000 {
+        let late = random.random_range(0..50) == 0;
+        driver.now += MS / 10 * random.random_range(0..if late { 2000 } else { 30 });
+        let event = driver.event(&mut random);
+        router.step(driver.now, event, &mut effects);
+        driver.check(&effects, &config);
+        effects.clear();
+
+        let summary = router.summary();
+        let queued = summary.queued_short + summary.queued_long;
+        let running = summary.running_short + summary.running_long;
+        assert_eq!(queued, driver.undecided.len());
+        assert_eq!(running as usize, driver.running.len());
+        assert!(queued <= config.queue);
+        assert!(router.wake().is_none_or(|at| at > driver.now));
+    }
+
+    router.step(driver.now, Event::Target(None), &mut effects);
+    driver.check(&effects, &config);
+    assert!(driver.undecided.is_empty());
+    let usage = router.members().values();
+    let dispatched = usage.clone().map(|u| u.dispatched).sum::<u64>();
+    let refused = usage.flat_map(|u| u.refused).sum::<u64>();
+    assert_eq!(u128::from(dispatched + refused), driver.next);
+    assert!(
+        dispatched > 1000,
+        "{dispatched} of {} dispatched",
+        driver.next
+    );
+}
