Test the loss of a process with real processes

Every test starts the binary five times, each process on a loopback address of its own with a target in the test process, and may put relays between the hosts that delay, drop, cut and silence. A checker reads the records of targets and callers only: one owner of a key at a time, no older epoch after a newer one, at most once, nothing acknowledged is lost, `not-run` is true, and every answer belongs to its request.

--- /dev/null
+++ b/tests/loss.rs
@@ -0,0 +1,96 @@
+//! Processes that are killed, paused or stopped.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use support::{
+    assert_within,
+    calls::{Ask, Call},
+    fleet::{Fleet, Options},
+    within,
+};
+
+/// The bound for a key to be served again when targets check fencing tokens.
+const SERVED: Duration = Duration::from_secs(1);
+
+/// The longest deadline of the pool, which is added to [`SERVED`] when they do
+/// not.
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// The patience of a test where the design gives no bound.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// The nodes that are not the victim of a test.
+const OTHERS: [usize; 4] = [0, 1, 2, 3];
+
+/// A host that is no control replica.
+const VICTIM: usize = 4;
+
+/// What happens to the process of the victim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    Kill,
+    Pause,
+}
+
+fn strike(fleet: &mut Fleet, fault: Fault) {
+    match fault {
+        Fault::Kill => fleet.kill(VICTIM),
+        Fault::Pause => fleet.process(VICTIM).pause(),
+    }
+}
+
+/// Brings the process back after it was struck, `since` that moment.
+async fn restore(fleet: &mut Fleet, fault: Fault, since: Instant) {
+    match fault {
+        Fault::Kill => fleet.launch(VICTIM),
+        Fault::Pause => {
+            tokio::time::sleep_until((since + Duration::from_secs(5)).into()).await;
+            fleet.process(VICTIM).resume();
+        }
+    }
+    fleet.ready().await;
+}
+
+/// Sends `ask` through node 0 until it is served.
+async fn served(fleet: &Fleet, ask: &Ask) -> Call {
+    let look = || async { fleet.call(0, ask.clone()).await.expect() };
+    within(PATIENCE, "a served request", look).await.0
+}
+
+/// Guards against keys that stay unavailable after the loss of a process, and
+/// against a second owner while they move or when the first one resumes.
+#[rstest]
+#[case::killed(Fault::Kill, true, SERVED)]
+#[case::killed_without_fencing(Fault::Kill, false, SERVED + DEADLINE)]
+#[case::paused(Fault::Pause, true, SERVED)]
+#[case::paused_without_fencing(Fault::Pause, false, SERVED + DEADLINE)]
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_of_a_lost_process_are_served_again_in_time(
+    #[case] fault: Fault,
+    #[case] fencing: bool,
+    #[case] bound: Duration,
+) {
+    let mut fleet = Fleet::start(Options {
+        fencing,
+        ..Options::default()
+    })
+    .await;
+    let keys = fleet.keys_of(VICTIM, 8).await;
+    let load = fleet.load(&OTHERS, 8, Duration::from_millis(20));
+
+    strike(&mut fleet, fault);
+    let start = Instant::now();
+    for key in &keys {
+        served(&fleet, &Ask::read(key)).await;
+    }
+    let took = start.elapsed();
+    restore(&mut fleet, fault, start).await;
+
+    load.stop().await;
+    fleet.check();
+    eprintln!("served again after {took:?}");
+    assert_within(took, bound, &fault);
+}
--- /dev/null
+++ b/tests/support/check.rs
@@ -0,0 +1,119 @@
+//! What must hold, seen from the records of targets and callers only.
+
+use std::collections::{BTreeMap, HashSet};
+
+use super::{
+    calls::{Call, End},
+    target::Execution,
+};
+
+/// An execution with the number of the target that ran it.
+pub type Ran = (usize, Execution);
+
+/// Every violation in the records of one test.
+///
+/// `exclusive` says that the targets check no fencing tokens, so that two of
+/// them must never work on a key at once.
+pub fn violations(executions: &[Ran], calls: &[Call], exclusive: bool) -> Vec<String> {
+    let mut found = Vec::new();
+    order(executions, exclusive, &mut found);
+    once(executions, calls, &mut found);
+    answers(executions, calls, &mut found);
+    found
+}
+
+/// Invariant 1: one owner of a key at a time.
+fn order(executions: &[Ran], exclusive: bool, found: &mut Vec<String>) {
+    let mut shards: BTreeMap<&str, Vec<&Ran>> = BTreeMap::new();
+    let mut paths: BTreeMap<&str, Vec<&Ran>> = BTreeMap::new();
+    for ran in executions {
+        shards.entry(&ran.1.shard).or_default().push(ran);
+        paths.entry(&ran.1.path).or_default().push(ran);
+    }
+    for (shard, mut runs) in shards {
+        runs.sort_by_key(|(_, execution)| execution.start);
+        for pair in runs.windows(2) {
+            if pair[1].1.epoch < pair[0].1.epoch {
+                found.push(format!(
+                    "older epoch after a newer one in {shard}: {pair:?}"
+                ));
+            }
+        }
+    }
+    for runs in paths.values().filter(|_| exclusive) {
+        for (position, (target, one)) in runs.iter().enumerate() {
+            for (other, two) in &runs[position + 1..] {
+                let apart = one.end.is_some_and(|end| end <= two.start)
+                    || two.end.is_some_and(|end| end <= one.start);
+                if target != other && !apart {
+                    found.push(format!("one key on two targets at once: {one:?} {two:?}"));
+                }
+            }
+        }
+    }
+}
+
+/// Invariants 2 and 5: at most once, and not lost once acknowledged.
+fn once(executions: &[Ran], calls: &[Call], found: &mut Vec<String>) {
+    let mut runs: BTreeMap<&str, Vec<&Ran>> = BTreeMap::new();
+    for ran in executions {
+        if let Some(key) = &ran.1.idempotency_key {
+            runs.entry(key).or_default().push(ran);
+        }
+    }
+    for (key, runs) in &runs {
+        if runs.len() > 1 {
+            found.push(format!("{key} ran {} times: {runs:?}", runs.len()));
+        }
+    }
+    for call in calls.iter().filter(|call| call.outcome() == "done") {
+        let Some(key) = &call.idempotency_key else {
+            continue;
+        };
+        let complete = |runs: &Vec<&Ran>| runs.iter().any(|(_, run)| run.complete);
+        if !runs.get(key.as_str()).is_some_and(complete) {
+            found.push(format!("{key} was acknowledged and did not run: {call:?}"));
+        }
+    }
+}
+
+/// Invariants 3 and 4: an answer belongs to its request, and `not-run` is
+/// true.
+fn answers(executions: &[Ran], calls: &[Call], found: &mut Vec<String>) {
+    let ran: HashSet<&str> = executions
+        .iter()
+        .filter_map(|(_, execution)| execution.token.as_deref())
+        .collect();
+    for call in calls {
+        let End::Answer(reply) = &call.end else {
+            continue;
+        };
+        if reply.outcome == "not-run" && ran.contains(call.token.as_str()) {
+            found.push(format!("answered not-run and ran: {call:?}"));
+        }
+        if reply.outcome.is_empty() {
+            found.push(format!("an answer without an outcome: {call:?}"));
+        }
+        if !call.served() {
+            continue;
+        }
+        // A recorded answer carries the token of the attempt that ran.
+        let own = reply.token == call.token;
+        let earlier = reply.replayed
+            && calls.iter().any(|other| {
+                other.token == reply.token
+                    && other.idempotency_key == call.idempotency_key
+                    && other.path == call.path
+            });
+        if !own && !earlier {
+            found.push(format!("the answer of another request: {call:?}"));
+        }
+    }
+}
+
+/// Requests that a graceful shutdown cut, invariant 7: the node had taken the
+/// connection and did not answer, or the work ran and its answer is lost.
+pub fn cut(calls: &[Call]) -> Vec<&Call> {
+    let cut = |call: &&Call| matches!(call.outcome(), "cut" | "unknown");
+    calls.iter().filter(cut).collect()
+}
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,518 @@
+//! A cluster of real processes, each with a target in the test process.
+
+use std::{
+    fmt::Write as _,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{RngExt as _, SeedableRng, rngs::StdRng};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::{Mutex, MutexGuard},
+    task::JoinHandle,
+};
+
+use super::{
+    calls::{Ask, Call, Calls},
+    check,
+    client::{Answer, Client},
+    process::{self, Process},
+    proxy::{End, Net},
+    target::{Config, Target},
+    within,
+};
+
+/// The token of both operators with their names in front.
+const TOKEN: &str = "integration-token";
+
+/// Tests that measure time run one after another.
+static TURN: Mutex<()> = Mutex::const_new(());
+
+/// The rules of every test. The longest deadline of the pool is 2 s.
+pub const RULES: &str = "\
+llewellyn bookings GET /bookings/{key} repeat deadline=2s length=short weight=1 # Megan, reads
+llewellyn bookings POST /bookings/{key} once deadline=2s length=learned weight=1 # Megan, bookings
+";
+
+/// The data centres of the hosts. The first three hosts are control replicas.
+const CENTRES: [&str; 5] = ["caerdydd", "abertawe", "aberystwyth", "bangor", "bangor"];
+
+/// The pool of every target.
+const POOL: &str = "bookings";
+
+const CALLER: u16 = 8080;
+const PEER: u16 = 7946;
+const ADMIN: u16 = 9090;
+
+/// What a test needs.
+#[derive(Debug, Clone)]
+pub struct Options {
+    pub hosts: usize,
+    /// Whether the targets check fencing tokens.
+    pub fencing: bool,
+    /// Whether hosts reach each other through relays.
+    pub proxy: bool,
+    /// Whether nodes reach their targets through relays.
+    pub target_proxy: bool,
+    pub slots: u32,
+    pub service: Duration,
+    pub extra: &'static str,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            hosts: 5,
+            fencing: true,
+            proxy: false,
+            target_proxy: false,
+            slots: 12,
+            service: Duration::from_millis(2),
+            extra: "",
+        }
+    }
+}
+
+/// One host.
+#[derive(Debug)]
+pub struct Host {
+    pub name: String,
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+    pub admin: SocketAddr,
+    pub target: Arc<Target>,
+    pub process: Option<Process>,
+    settings: PathBuf,
+    log: PathBuf,
+    announcer: JoinHandle<()>,
+}
+
+/// A running cluster.
+#[derive(Debug)]
+pub struct Fleet {
+    pub hosts: Vec<Host>,
+    pub net: Arc<Net>,
+    pub calls: Calls,
+    pub client: Client,
+    pub seed: u64,
+    options: Options,
+    _data: TempDir,
+    _turn: MutexGuard<'static, ()>,
+}
+
+impl Fleet {
+    /// Starts a cluster and waits until it serves under [`RULES`].
+    pub async fn start(options: Options) -> Self {
+        let turn = TURN.lock().await;
+        let seed = std::env::var("SEED")
+            .ok()
+            .and_then(|seed| seed.parse().ok());
+        let seed = seed.unwrap_or_else(rand::random);
+        eprintln!("SEED={seed}");
+        let data = tempfile::tempdir().unwrap();
+        let block = block();
+        let net = Net::new(seed);
+        let mut hosts = Vec::new();
+        for number in 0..options.hosts {
+            hosts.push(host(number, block, &options, &net, &data).await);
+        }
+        let mut fleet = Self {
+            hosts,
+            net,
+            calls: Calls::default(),
+            client: Client::new(),
+            seed,
+            options,
+            _data: data,
+            _turn: turn,
+        };
+        for number in 0..fleet.hosts.len() {
+            fleet.launch(number);
+        }
+        fleet.ready().await;
+        fleet.change(0, "megan", "start", 0, RULES).await;
+        fleet.in_force(1, Duration::from_secs(5)).await;
+        fleet
+    }
+
+    /// Starts the process of a host.
+    pub fn launch(&mut self, number: usize) {
+        let host = &mut self.hosts[number];
+        host.process = Some(Process::start(&host.settings, &host.log));
+    }
+
+    /// The process of a host.
+    pub fn process(&self, number: usize) -> &Process {
+        self.hosts[number].process.as_ref().unwrap()
+    }
+
+    /// Kills the process of a host.
+    pub fn kill(&mut self, number: usize) {
+        self.hosts[number].process.take().unwrap().kill();
+    }
+
+    /// Waits until every running process serves and every shard has an owner.
+    pub async fn ready(&self) {
+        let bound = Duration::from_secs(20);
+        within(bound, "a settled cluster", || self.settled()).await;
+    }
+
+    async fn settled(&self) -> Result<(), String> {
+        for (number, host) in self.hosts.iter().enumerate() {
+            if host.process.is_none() {
+                continue;
+            }
+            let status = self.status(number).await?;
+            let ready = status["nodes"].as_array().map_or(0, |nodes| {
+                let ready = nodes.iter().filter(|node| node["status"] == "ready");
+                ready.count()
+            });
+            let running = self.hosts.iter().filter(|host| host.process.is_some());
+            let pool = &status["pools"][0];
+            if status["lease"] != true
+                || status["current"] != true
+                || ready != running.count()
+                || pool["ownerless"] != 0
+                || pool["moving"] != 0
+            {
+                return Err(status.to_string());
+            }
+        }
+        Ok(())
+    }
+
+    /// What a node says of the cluster.
+    pub async fn status(&self, number: usize) -> Result<Value, String> {
+        self.get(number, "/v1/status").await
+    }
+
+    /// A document of the operator API.
+    pub async fn get(&self, number: usize, path: &str) -> Result<Value, String> {
+        let send = self
+            .client
+            .send(self.hosts[number].admin, "GET", path, &[], "");
+        let answer = tokio::time::timeout(Duration::from_secs(1), send).await;
+        let answer = answer.map_err(|error| error.to_string())?;
+        Ok(answer.map_err(|error| error.to_string())?.json())
+    }
+
+    /// Sends a change of the rules.
+    pub async fn change(
+        &self,
+        via: usize,
+        operator: &str,
+        id: &str,
+        base: u64,
+        text: &str,
+    ) -> Answer {
+        let document = json!({ "id": id, "base": base, "text": text });
+        let token = format!("{operator}-{TOKEN}");
+        let admin = self.hosts[via].admin;
+        let send = self
+            .client
+            .json(admin, "PUT", "/v1/rules", &token, &document);
+        send.await.unwrap()
+    }
+
+    /// Sends a request of an operator without a document.
+    pub async fn post(&self, via: usize, path: &str) -> Answer {
+        let admin = self.hosts[via].admin;
+        let token = format!("megan-{TOKEN}");
+        let empty = json!({});
+        let send = self.client.json(admin, "POST", path, &token, &empty);
+        send.await.unwrap()
+    }
+
+    /// Waits until a version of the rules is in force at every running node.
+    pub async fn in_force(&self, version: u64, bound: Duration) -> Duration {
+        let ((), took) = within(bound, "rules in force everywhere", || async {
+            for (number, host) in self.hosts.iter().enumerate() {
+                if host.process.is_some() {
+                    let rules = self.get(number, "/v1/rules").await?;
+                    if rules["version"].as_u64() < Some(version) {
+                        return Err(format!("{}: {}", host.name, rules["version"]));
+                    }
+                }
+            }
+            Ok(())
+        })
+        .await;
+        took
+    }
+
+    /// The host whose control replica leads.
+    pub async fn leader(&self, via: usize) -> usize {
+        let bound = Duration::from_secs(5);
+        let (leader, _) = within(bound, "a control leader", || async {
+            let status = self.status(via).await?;
+            let leader = status["control_leader"].as_u64();
+            leader.ok_or_else(|| status.to_string())
+        })
+        .await;
+        usize::try_from(leader).unwrap() - 1
+    }
+
+    /// The host that owns a key, and its holders' hosts.
+    pub async fn owner(&self, via: usize, key: &str) -> Result<(usize, Vec<usize>), String> {
+        let path = format!("/v1/explain?method=POST&path=/bookings/{key}");
+        let found = self.get(via, &path).await?;
+        let owner = found["owner_host"].as_str().unwrap_or_default();
+        let owner = self.hosts.iter().position(|host| host.name == owner);
+        let status = self.status(via).await?;
+        let holders = found["holders"].as_array().into_iter().flatten();
+        let holders = holders.filter_map(|holder| {
+            let nodes = status["nodes"].as_array()?;
+            let node = nodes.iter().find(|node| node["node"] == *holder)?;
+            self.hosts.iter().position(|host| node["host"] == host.name)
+        });
+        let holders = holders.collect();
+        owner
+            .map(|owner| (owner, holders))
+            .ok_or_else(|| found.to_string())
+    }
+
+    /// `count` keys that a host owns.
+    pub async fn keys_of(&self, owner: usize, count: usize) -> Vec<String> {
+        let mut keys = Vec::new();
+        let via = self.running();
+        for number in 0.. {
+            let key = format!("k{number}");
+            if self.owner(via, &key).await.unwrap().0 == owner {
+                keys.push(key);
+            }
+            if keys.len() == count {
+                break;
+            }
+            assert!(number < 1_000, "host {owner} owns no keys");
+        }
+        keys
+    }
+
+    fn running(&self) -> usize {
+        let running = self.hosts.iter().position(|host| host.process.is_some());
+        running.unwrap()
+    }
+
+    /// Sends one request through a node.
+    pub async fn call(&self, via: usize, ask: Ask) -> Call {
+        self.calls.send(via, self.hosts[via].caller, ask).await
+    }
+
+    /// Sends requests through the given nodes with `width` callers until the
+    /// load is stopped. Half of them are bookings.
+    pub fn load(&self, via: &[usize], width: usize, work: Duration) -> Load {
+        let stop = tokio_util::sync::CancellationToken::new();
+        let callers = (0..width).map(|caller| {
+            let mut random = StdRng::seed_from_u64(self.seed.wrapping_add(caller as u64));
+            let (calls, stop) = (self.calls.clone(), stop.clone());
+            let nodes: Vec<_> = via.iter().map(|&n| (n, self.hosts[n].caller)).collect();
+            tokio::spawn(async move {
+                let mut number = 0;
+                while !stop.is_cancelled() {
+                    number += 1;
+                    let (node, address) = nodes[random.random_range(0..nodes.len())];
+                    let key = format!("k{}", random.random_range(0..200));
+                    let ask = if random.random() {
+                        Ask::read(&key)
+                    } else {
+                        Ask::book(&key, &format!("load-{caller}-{number}"))
+                    };
+                    let call = calls.send(node, address, ask.taking(work)).await;
+                    if !call.served() {
+                        tokio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                }
+            })
+        });
+        Load {
+            callers: callers.collect(),
+            stop,
+        }
+    }
+
+    /// Fails the test when the records show a violation.
+    pub fn check(&self) {
+        let found = check::violations(&self.executions(), &self.calls.all(), !self.options.fencing);
+        assert!(found.is_empty(), "{} violations: {found:#?}", found.len());
+    }
+
+    /// What every target ran.
+    pub fn executions(&self) -> Vec<check::Ran> {
+        let hosts = self.hosts.iter().enumerate();
+        let runs = hosts.map(|(number, host)| (number, host.target.executions()));
+        runs.flat_map(|(number, runs)| runs.into_iter().map(move |run| (number, run)))
+            .collect()
+    }
+
+    /// Cuts or restores what lies between some hosts and all others.
+    pub fn isolate(&self, some: &[usize], rule: super::proxy::Rule) {
+        let others: Vec<usize> = (0..self.hosts.len())
+            .filter(|n| !some.contains(n))
+            .collect();
+        self.net.between(some, &others, rule);
+    }
+}
+
+/// Callers that send one request after another.
+#[derive(Debug)]
+pub struct Load {
+    callers: Vec<JoinHandle<()>>,
+    stop: tokio_util::sync::CancellationToken,
+}
+
+impl Load {
+    /// Stops and waits for the requests in flight.
+    pub async fn stop(self) {
+        self.stop.cancel();
+        for caller in self.callers {
+            caller.await.unwrap();
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for host in &mut self.hosts {
+            host.announcer.abort();
+            host.process.take();
+            if std::thread::panicking() {
+                process::show(&host.log);
+            }
+        }
+    }
+}
+
+/// An unused block of loopback addresses, so that tests and other programs do
+/// not share ports.
+fn block() -> [u8; 2] {
+    loop {
+        let block = [rand::random_range(64..250), rand::random_range(1..250)];
+        let address = (address(block, 1), PEER);
+        if std::net::TcpListener::bind(address).is_ok() {
+            return block;
+        }
+    }
+}
+
+fn address([second, third]: [u8; 2], last: usize) -> IpAddr {
+    let last = u8::try_from(last).unwrap();
+    Ipv4Addr::new(127, second, third, last).into()
+}
+
+/// The host that has an address.
+fn source(ip: IpAddr) -> End {
+    let IpAddr::V4(ip) = ip else {
+        unreachable!("all addresses are IPv4")
+    };
+    End::Host(usize::from(ip.octets()[3]) - 1)
+}
+
+/// The distance between the address of a host and that of its relay.
+const RELAY: usize = 101;
+
+async fn host(
+    number: usize,
+    block: [u8; 2],
+    options: &Options,
+    net: &Arc<Net>,
+    data: &TempDir,
+) -> Host {
+    let (own, relay) = (address(block, number + 1), address(block, number + RELAY));
+    let peer = SocketAddr::new(own, PEER);
+    let admin = SocketAddr::new(own, ADMIN);
+    if options.proxy {
+        let tcp = TcpListener::bind((relay, PEER)).await.unwrap();
+        let udp = UdpSocket::bind((relay, PEER)).await.unwrap();
+        net.tcp(tcp, peer, End::Host(number), source);
+        net.udp(udp, peer, End::Host(number), source);
+    }
+    let target = Target::start(Config {
+        pool: POOL.to_owned(),
+        slots: options.slots,
+        connections: 110,
+        fencing: options.fencing,
+        service: options.service,
+    });
+    let target = target.await.unwrap();
+    let mut announcement = target.announcement();
+    if options.target_proxy {
+        let tcp = TcpListener::bind((relay, 0)).await.unwrap();
+        announcement["address"] = json!(tcp.local_addr().unwrap().to_string());
+        net.tcp(tcp, target.address, End::Target(number), move |_| {
+            End::Host(number)
+        });
+    }
+    let name = format!("{}-{}", CENTRES[number], number);
+    let settings = data.path().join(format!("{name}.yaml"));
+    let text = settings_text(&name, number, block, options, data);
+    std::fs::write(&settings, text).unwrap();
+    Host {
+        caller: SocketAddr::new(own, CALLER),
+        peer,
+        admin,
+        target,
+        process: None,
+        log: data.path().join(format!("{name}.log")),
+        settings,
+        announcer: tokio::spawn(announce(admin, announcement)),
+        name,
+    }
+}
+
+fn settings_text(
+    name: &str,
+    number: usize,
+    block: [u8; 2],
+    options: &Options,
+    data: &TempDir,
+) -> String {
+    let own = address(block, number + 1);
+    let reached = |host: usize| {
+        let last = if options.proxy { RELAY } else { 1 };
+        SocketAddr::new(address(block, host + last), PEER)
+    };
+    let mut text = format!(
+        "host: {name}\ndata_centre: {}\nlisten:\n  caller: {own}:{CALLER}\n  peer: {own}:{PEER}\n  \
+         admin: {own}:{ADMIN}\n  advertise: {{ peer: '{}' }}\n\
+         cluster_key: integration-cluster-key\nshards: 64\nlog: info\nreplicas:\n",
+        CENTRES[number],
+        reached(number)
+    );
+    let replicas = options.hosts.min(3);
+    for replica in 0..replicas {
+        let peer = reached(replica);
+        let _ = writeln!(text, "  - {{ id: {}, peer: '{peer}' }}", replica + 1);
+    }
+    if number < replicas {
+        let data = data.path().join(name);
+        let data = data.display();
+        let _ = writeln!(text, "replica: {{ id: {}, data: '{data}' }}", number + 1);
+    }
+    text.push_str("operators:\n");
+    for operator in ["megan", "gwen"] {
+        let hash = blake3::hash(format!("{operator}-{TOKEN}").as_bytes()).to_hex();
+        let _ = writeln!(text, "  - {{ name: {operator}, token_hash: '{hash}' }}");
+    }
+    text.push_str(options.extra);
+    text
+}
+
+/// Announces a target to the node beside it again every second.
+async fn announce(admin: SocketAddr, announcement: Value) {
+    let client = Client::new();
+    loop {
+        let send = client.json(admin, "PUT", "/v1/target", "", &announcement);
+        let answer = tokio::time::timeout(Duration::from_secs(1), send).await;
+        let pause = match answer {
+            Ok(Ok(_)) => Duration::from_secs(1),
+            // The node has not started yet.
+            _ => Duration::from_millis(50),
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
