Do not deny work that an earlier attempt may have run

An ingress node tries a request again when its connection to the owner is lost, since the records of at-most-once requests recognise it. When the later attempt found no owner, its `not-run` was returned although the first attempt had run. An unknown attempt now decides the answer over a later `not-run`.

The test loses the owner of six bookings in flight.

--- a/tests/loss.rs
+++ b/tests/loss.rs
@@ -94,3 +94,67 @@
     eprintln!("served again after {took:?}");
     assert_within(took, bound, &fault);
 }
+
+/// Guards against at-most-once work that runs again, or is refused as
+/// `not-run`, after its owner is lost in the middle of it.
+#[rstest]
+#[case::killed(Fault::Kill, true)]
+#[case::killed_without_fencing(Fault::Kill, false)]
+#[case::paused(Fault::Pause, true)]
+#[case::paused_without_fencing(Fault::Pause, false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_in_flight_at_the_loss_of_its_owner_runs_once(
+    #[case] fault: Fault,
+    #[case] fencing: bool,
+) {
+    let mut fleet = Fleet::start(Options {
+        fencing,
+        ..Options::default()
+    })
+    .await;
+    let keys = fleet.keys_of(VICTIM, 6).await;
+    let victim = fleet.hosts[VICTIM].target.clone();
+    let work = Duration::from_millis(300);
+    let books: Vec<Ask> = keys
+        .iter()
+        .map(|key| Ask::book(key, &format!("flight-{key}")).taking(work))
+        .collect();
+    let (calls, caller) = (fleet.calls.clone(), fleet.hosts[0].caller);
+    let flight: Vec<_> = books
+        .iter()
+        .map(|ask| {
+            let (calls, ask) = (calls.clone(), ask.clone());
+            tokio::spawn(async move { calls.send(0, caller, ask).await })
+        })
+        .collect();
+    let running = || async {
+        let running = victim.executions().len();
+        (running == books.len())
+            .then_some(())
+            .ok_or_else(|| format!("{running} bookings run"))
+    };
+    within(PATIENCE, "running bookings", running).await;
+
+    strike(&mut fleet, fault);
+    let start = Instant::now();
+    for call in flight {
+        call.await.unwrap();
+    }
+    // The outcome may stay unknown for good; it must not run again.
+    for ask in &books {
+        let look = || async {
+            let call = fleet.call(1, ask.clone()).await;
+            match call.outcome() {
+                "done" | "unknown" => Ok(()),
+                _ => Err(format!("{call:?}")),
+            }
+        };
+        within(PATIENCE, "a final outcome", look).await;
+    }
+    restore(&mut fleet, fault, start).await;
+    for ask in &books {
+        fleet.call(VICTIM, ask.clone()).await;
+    }
+
+    fleet.check();
+}
--- a/wisteriaglade-node/src/ingress.rs
+++ b/wisteriaglade-node/src/ingress.rs
@@ -175,14 +175,18 @@
 /// Tries the owner until there is an answer that another attempt would not
 /// change.
 async fn route(context: &Arc<Context>, ingress: &mut Ingress) -> Result<Response<Body>, Refusal> {
+    let mut earlier = None;
     loop {
-        let (node, peer) = owner(context, ingress).await?;
+        let (node, peer) = match owner(context, ingress).await {
+            Ok(found) => found,
+            Err(refusal) => return Err(conclude(earlier, refusal)),
+        };
         let Some(body) = ingress.payload.take() else {
-            return Err(Refusal::not_run(
+            let refusal = Refusal::not_run(
                 Reason::Moved,
                 "the key moved while the body was sent; send the request again",
-            )
-            .after(PAUSE));
+            );
+            return Err(conclude(earlier, refusal.after(PAUSE)));
         };
         let mut job = Job {
             request: Request::new(rand::random()),
@@ -210,12 +214,26 @@
             }
         };
         match outcome {
-            Err(refusal) if again(context, ingress, &refusal) => sleep(PAUSE).await,
-            outcome => return outcome,
+            Err(refusal) if again(context, ingress, &refusal) => {
+                if refusal.outcome == Outcome::Unknown {
+                    earlier = Some(refusal);
+                }
+                sleep(PAUSE).await;
+            }
+            outcome => return outcome.map_err(|refusal| conclude(earlier, refusal)),
         }
     }
 }
 
+/// The final refusal. When an earlier attempt may have run, a later one that
+/// did not run says nothing about the request.
+fn conclude(earlier: Option<Refusal>, last: Refusal) -> Refusal {
+    match earlier {
+        Some(earlier) if last.outcome == Outcome::NotRun => earlier,
+        _ => last,
+    }
+}
+
 /// Whether another attempt is safe and can succeed.
 fn again(context: &Context, ingress: &Ingress, refusal: &Refusal) -> bool {
     let time = context.clock.now() + PAUSE < ingress.deadline;
