--- a/wisteriaglade-node/src/ingress.rs
+++ b/wisteriaglade-node/src/ingress.rs
@@ -186,55 +186,81 @@
     let member = ingress.rule.member.clone();
     lock(&context.budget).request(context.clock.now(), &member);
     let mut pause = PAUSE;
+    let mut earlier = None;
     loop {
-        let place = owner(context, ingress).await?;
-        let node = place.node;
+        let place = match owner(context, ingress).await {
+            Ok(place) => place,
+            Err(refusal) => return Err(conclude(earlier, refusal)),
+        };
         let Some(body) = ingress.payload.take() else {
-            return Err(Refusal::not_run(
+            let refusal = Refusal::not_run(
                 Reason::Moved,
                 "the key moved while the body was sent; send the request again",
-            )
-            .after(PAUSE));
-        };
-        let mut job = Job {
-            request: Request::new(rand::random()),
-            method: ingress.method.clone(),
-            uri: ingress.uri.clone(),
-            headers: ingress.headers.clone(),
-            body,
-            deadline: ingress.deadline,
-            caller: ingress.caller.clone(),
-            cancel: ingress.cancel.clone(),
+            );
+            return Err(conclude(earlier, refusal.after(PAUSE)));
         };
-        let outcome = if context.node() == Some(node) {
-            work::serve(context, job).await
-        } else {
-            let span = info_span!("forward", request = %job.request, node = node.get());
-            trace::inject(&span, &mut job.headers);
-            let forward = forward::forward(context, place.peer, node, job).instrument(span);
-            let deadline = context.clock.instant(ingress.deadline);
-            match tokio::time::timeout_at(deadline, forward).await {
-                Ok(outcome) => outcome,
-                Err(_) => Err(Refusal::unknown(
-                    Reason::Deadline,
-                    "the deadline passed while the owner's node was working",
-                )),
-            }
+        let refusal = match attempt(context, ingress, &place, body).await {
+            Ok(response) => return Ok(response),
+            Err(refusal) => refusal,
         };
-        match outcome {
-            Err(refusal) if again(context, ingress, &refusal) => {
-                // A new owner is tried at once. The same one is tried again
-                // after a pause and within the budget of the member, so that
-                // retries do not multiply the load of a node in trouble.
-                if !moved(context, ingress, &place, pause).await
-                    && !lock(&context.budget).retry(context.clock.now(), &member)
-                {
-                    return Err(refusal.after(BEHIND));
-                }
-                pause = (pause * 2).min(LONGEST_PAUSE);
-            }
-            outcome => return outcome,
+        if !again(context, ingress, &refusal) {
+            return Err(conclude(earlier, refusal));
         }
+        // A new owner is tried at once. The same one is tried again after a
+        // pause and within the budget of the member, so that retries do not
+        // multiply the load of a node in trouble.
+        if !moved(context, ingress, &place, pause).await
+            && !lock(&context.budget).retry(context.clock.now(), &member)
+        {
+            return Err(conclude(earlier, refusal.after(BEHIND)));
+        }
+        if refusal.outcome == Outcome::Unknown {
+            earlier = Some(refusal);
+        }
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// Serves the request here or at the node that owns its key.
+async fn attempt(
+    context: &Arc<Context>,
+    ingress: &Ingress,
+    place: &Place,
+    body: Body,
+) -> Result<Response<Body>, Refusal> {
+    let mut job = Job {
+        request: Request::new(rand::random()),
+        method: ingress.method.clone(),
+        uri: ingress.uri.clone(),
+        headers: ingress.headers.clone(),
+        body,
+        deadline: ingress.deadline,
+        caller: ingress.caller.clone(),
+        cancel: ingress.cancel.clone(),
+    };
+    if context.node() == Some(place.node) {
+        return work::serve(context, job).await;
+    }
+    let span = info_span!("forward", request = %job.request, node = place.node.get());
+    trace::inject(&span, &mut job.headers);
+    let forward = forward::forward(context, place.peer, place.node, job).instrument(span);
+    let deadline = context.clock.instant(ingress.deadline);
+    tokio::time::timeout_at(deadline, forward)
+        .await
+        .unwrap_or_else(|_| {
+            Err(Refusal::unknown(
+                Reason::Deadline,
+                "the deadline passed while the owner's node was working",
+            ))
+        })
+}
+
+/// The final refusal. When an earlier attempt may have run, a later one that
+/// did not run says nothing about the request.
+fn conclude(earlier: Option<Refusal>, last: Refusal) -> Refusal {
+    match earlier {
+        Some(earlier) if last.outcome == Outcome::NotRun => earlier,
+        _ => last,
     }
 }
 
