Keep hosts known as lost out of a new set of holders

A proposal may be late, and a host in it lost meanwhile. Taken by the log, it leaves the shard with one holder when an old one is lost as well.

--- a/wisteriaglade-once/src/owner/effect.rs
+++ b/wisteriaglade-once/src/owner/effect.rs
@@ -53,6 +53,8 @@
     /// The entry must take effect only while the shard has both this epoch and
     /// the holders `base`. A late repetition could otherwise bring back a set that
     /// lacks the latest records.
+    /// It must also have no effect when a new holder is known to be lost: together
+    /// with an old one lost since, the shard would be left with one holder.
     Hold {
         /// The pool.
         pool: Name,
