Measure the append with sync and the step function

The sync dominates the cost of a commit, so the benchmark shows what sharing one sync among the proposals of a batch gains. The step function is measured over the size of the group and the length of the log.

--- /dev/null
+++ b/wisteriaglade-consensus/benches/consensus.rs
@@ -0,0 +1,106 @@
+//! Cost of an append with its sync, and of the step function, over sizes.
+
+use std::{hint::black_box, sync::Arc, time::Duration};
+
+use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use wisteriaglade_consensus::{
+    Change, Config, Entry, Input, Message, Output, Payload, Raft, Replica, Restored, Role, Vote,
+    storage::Storage,
+};
+use wisteriaglade_types::{Index, Term};
+
+/// The size of one command in bytes.
+const COMMAND: usize = 128;
+const SECOND: Duration = Duration::from_secs(1);
+
+fn entries(from: u64, count: u64) -> Vec<Entry> {
+    let entry = |index| Entry {
+        index: Index::new(index),
+        term: Term::new(1),
+        payload: Payload::Data(vec![7; COMMAND].into()),
+    };
+    (from..from + count).map(entry).collect()
+}
+
+/// Appends of 1 to 4,096 entries, each made durable by one sync.
+fn append(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("append_and_sync");
+    for count in [1, 16, 256, 4_096] {
+        let directory = tempfile::tempdir().expect("a temporary directory");
+        let (mut storage, _) = Storage::open(directory.path()).expect("a new directory");
+        let mut next = 1;
+        group.throughput(Throughput::Elements(count));
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter_batched(
+                || {
+                    next += count;
+                    Change::Append(entries(next - count, count))
+                },
+                |change| storage.persist(&change).expect("a healthy disk"),
+                BatchSize::PerIteration,
+            );
+        });
+    }
+    group.finish();
+}
+
+/// A leader of `size` replicas whose log has `length` entries.
+fn leader(size: u64, length: u64) -> Raft {
+    let members = (1..=size).map(Replica::new);
+    let restored = Restored {
+        vote: Vote {
+            term: Term::new(1),
+            voted: None,
+        },
+        snapshot: None,
+        entries: entries(1, length),
+    };
+    let config = Config::new(Replica::new(1), members);
+    let mut raft = Raft::new(config, restored, Duration::ZERO);
+    let mut outputs = Vec::new();
+    raft.step(2 * SECOND, Input::Tick, &mut outputs);
+    let (term, granted) = (Term::new(2), true);
+    for message in [
+        Message::PreVoted { term, granted },
+        Message::Voted { term, granted },
+    ] {
+        for from in (2..=size).map(Replica::new) {
+            let message = message.clone();
+            raft.step(2 * SECOND, Input::Message { from, message }, &mut outputs);
+        }
+    }
+    assert_eq!(raft.role(), Role::Leader);
+    raft
+}
+
+/// Proposes one command and commits it with the responses of all followers.
+fn commit(raft: &mut Raft, size: u64, data: Arc<[u8]>, outputs: &mut Vec<Output>) {
+    outputs.clear();
+    raft.step(2 * SECOND, Input::Propose { ticket: 1, data }, outputs);
+    let (term, index) = (raft.term(), raft.last());
+    for from in (2..=size).map(Replica::new) {
+        let message = Message::Matched { term, index };
+        raft.step(2 * SECOND, Input::Message { from, message }, outputs);
+    }
+    assert_eq!(raft.commit(), index);
+}
+
+/// One commit by the step function, without I/O, over groups and log lengths.
+fn step(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("commit");
+    for size in [1, 3, 5, 7] {
+        for length in [0, 10_000, 1_000_000] {
+            let mut raft = leader(size, length);
+            let mut outputs = Vec::new();
+            let data: Arc<[u8]> = vec![7; COMMAND].into();
+            let name = BenchmarkId::new(format!("{size}_replicas"), length);
+            group.bench_function(name, |bencher| {
+                bencher.iter(|| commit(&mut raft, size, data.clone(), black_box(&mut outputs)));
+            });
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, append, step);
+criterion_main!(benches);
