Detect silent connections to the target

A request on a pooled connection that something between the two ends had lost track of waited for its whole deadline. A request whose connection was closed before it was written is sent over a new one.

--- a/wisteriaglade-node/src/body.rs
+++ b/wisteriaglade-node/src/body.rs
@@ -59,6 +59,14 @@
         Self::Full(Full::new(bytes.into()))
     }
 
+    /// The same body again, when all of it is in memory.
+    pub(crate) fn copy(&self) -> Option<Self> {
+        match self {
+            Self::Full(full) => Some(Self::Full(full.clone())),
+            Self::Incoming(_) | Self::Channel(..) => None,
+        }
+    }
+
     pub(crate) fn channel(pieces: mpsc::Receiver<Piece>) -> Self {
         Self::Channel(pieces, false)
     }
--- a/wisteriaglade-node/src/work.rs
+++ b/wisteriaglade-node/src/work.rs
@@ -1,16 +1,17 @@
 //! Serves a request at the node that owns its key.
 
+mod dispatch;
 mod once;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request as HttpRequest, Response, header};
+use http::{HeaderMap, HeaderValue, Response, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Incoming};
 use tokio::sync::mpsc;
 use tracing::{Instrument, info_span};
-use wisteriaglade_router::{Arrival, Finish, Length};
+use wisteriaglade_router::{Arrival, Class, Finish, Length};
 use wisteriaglade_rules::{Execution, Length as RuleLength, Rule};
 use wisteriaglade_types::{Epoch, Hash, Node, Outcome, Shard};
 
@@ -22,7 +23,7 @@
     job::Job,
     read,
     refusal::{Reason, Refusal},
-    target, trace,
+    trace,
 };
 
 /// A response body up to this size is read whole before it is passed on, which
@@ -74,7 +75,7 @@
     grant: &Grant,
     ticket: &mut Ticket,
 ) -> Result<Response<Incoming>, Refusal> {
-    admit(context, &job, grant, ticket).await?;
+    let class = admit(context, &job, grant, ticket).await?;
     confirm(context, grant)?;
     let span = info_span!(
         "target",
@@ -83,7 +84,9 @@
         epoch = grant.epoch.get()
     );
     trace::inject(&span, &mut job.headers);
-    dispatch(context, job, grant, ticket).instrument(span).await
+    dispatch::dispatch(context, job, grant, ticket, class)
+        .instrument(span)
+        .await
 }
 
 fn grant(context: &Context, job: &Job) -> Result<Grant, Refusal> {
@@ -145,7 +148,7 @@
     job: &Job,
     grant: &Grant,
     ticket: &mut Ticket,
-) -> Result<(), Refusal> {
+) -> Result<Class, Refusal> {
     let arrival = Arrival {
         request: job.request,
         member: grant.rule.member.clone(),
@@ -167,7 +170,7 @@
         }
     };
     match verdict {
-        Verdict::Dispatch(_) => Ok(()),
+        Verdict::Dispatch(class) => Ok(class),
         Verdict::Refuse(reason, after) => {
             context.metrics.refused(&grant.rule.member, reason.as_str());
             Err(refused(reason, after))
@@ -196,95 +199,12 @@
     }
 }
 
-async fn dispatch(
-    context: &Context,
-    mut job: Job,
-    grant: &Grant,
-    ticket: &mut Ticket,
-) -> Result<Response<Incoming>, Refusal> {
-    let once = grant.rule.execution == Execution::Once;
-    let deadline = context.clock.instant(job.deadline);
-    let request = outgoing(context, &mut job, grant)?;
-    let cancel = job.cancel.clone();
-    let abandon = ticket.cancel.clone();
-    let send = context.client.send(grant.target, request);
-    let outcome = tokio::select! {
-        outcome = send => outcome,
-        () = tokio::time::sleep_until(deadline) => {
-            ticket.finish(Finish::Cancelled);
-            return Err(Refusal::unknown(Reason::Deadline, "the deadline passed during the work"));
-        }
-        () = abandon.cancelled() => {
-            ticket.finish(Finish::Cancelled);
-            return Err(Refusal::unknown(Reason::Deadline, "the work was cancelled"));
-        }
-        // Work that runs at most once goes on, so that its outcome is known.
-        () = cancel.cancelled(), if !once => {
-            ticket.finish(Finish::Cancelled);
-            return Err(Refusal::unknown(Reason::Deadline, "the caller disconnected"));
-        }
-    };
-    let response = outcome.map_err(|error| {
-        ticket.finish(Finish::Failed);
-        match error {
-            target::Error::Connect(detail) => Refusal::not_run(Reason::TargetUnreachable, detail),
-            target::Error::Broken(detail) => Refusal::unknown(Reason::ConnectionLost, detail),
-        }
-    })?;
-    if let Some(refusal) = shed(response.headers()) {
-        ticket.finish(Finish::Shed {
-            retry_after: refusal.retry_after,
-        });
-        return Err(refusal);
-    }
-    Ok(response)
-}
-
-/// The request as the target gets it.
-fn outgoing(context: &Context, job: &mut Job, grant: &Grant) -> Result<HttpRequest<Body>, Refusal> {
-    let remaining = job.deadline.saturating_sub(context.clock.now());
-    if remaining.is_zero() {
-        return Err(Refusal::not_run(
-            Reason::Deadline,
-            "the deadline has passed",
-        ));
-    }
-    let mut request = HttpRequest::new(std::mem::replace(&mut job.body, Body::empty()));
-    *request.method_mut() = job.method.clone();
-    *request.uri_mut() = job.uri.clone();
-    *request.headers_mut() = std::mem::take(&mut job.headers);
-    let headers = request.headers_mut();
-    set(headers, names::EPOCH, grant.epoch.get());
-    set(headers, names::SHARD, grant.shard.get());
-    set(headers, names::DEADLINE, remaining.as_millis());
-    set(headers, names::POOL, &grant.rule.pool);
-    set(headers, names::MEMBER, &grant.rule.member);
-    set(headers, header::HOST, grant.target);
-    Ok(request)
-}
-
 fn set(headers: &mut HeaderMap, name: header::HeaderName, value: impl std::fmt::Display) {
     if let Ok(value) = HeaderValue::from_str(&value.to_string()) {
         headers.insert(name, value);
     }
 }
 
-/// A response by which the target says that it did not start the work.
-fn shed(headers: &HeaderMap) -> Option<Refusal> {
-    let outcome = headers.get(names::OUTCOME)?;
-    if outcome.as_bytes() != Outcome::NotRun.as_str().as_bytes() {
-        return None;
-    }
-    let refusal = Refusal::not_run(Reason::TargetUnavailable, "the target shed the request");
-    let seconds = headers
-        .get(header::RETRY_AFTER)
-        .and_then(|value| value.to_str().ok()?.parse().ok());
-    Some(match seconds {
-        Some(seconds) => refusal.after(Duration::from_secs(seconds)),
-        None => refusal,
-    })
-}
-
 async fn receive(
     context: &Arc<Context>,
     response: Response<Incoming>,
--- /dev/null
+++ b/wisteriaglade-node/src/work/dispatch.rs
@@ -0,0 +1,172 @@
+//! Sends an admitted request to the target.
+
+use std::time::Duration;
+
+use http::{HeaderMap, Request as HttpRequest, Response, header};
+use hyper::body::Incoming;
+use tokio::time::{sleep, sleep_until};
+use wisteriaglade_router::{Class, Finish};
+use wisteriaglade_rules::Execution;
+use wisteriaglade_types::Outcome;
+
+use super::{Grant, set};
+use crate::{
+    admission::Ticket,
+    body::Body,
+    context::Context,
+    header as names,
+    job::Job,
+    refusal::{Reason, Refusal},
+    target::{self, Path},
+};
+
+/// The shortest time after which a connection to the target counts as silent.
+const SILENT: Duration = Duration::from_secs(1);
+
+/// How many times the usual service time short work may take before its
+/// connection counts as silent.
+const UNUSUAL: u32 = 16;
+
+/// Sends the request and returns the start of the target's response.
+pub(super) async fn dispatch(
+    context: &Context,
+    mut job: Job,
+    grant: &Grant,
+    ticket: &mut Ticket,
+    class: Class,
+) -> Result<Response<Incoming>, Refusal> {
+    let once = grant.rule.execution == Execution::Once;
+    let deadline = context.clock.instant(job.deadline);
+    let request = outgoing(context, &mut job, grant)?;
+    let cancel = job.cancel.clone();
+    let abandon = ticket.cancel.clone();
+    let outcome = tokio::select! {
+        outcome = send(context, grant, request, class) => outcome,
+        () = sleep_until(deadline) => {
+            ticket.finish(Finish::Cancelled);
+            return Err(Refusal::unknown(Reason::Deadline, "the deadline passed during the work"));
+        }
+        () = abandon.cancelled() => {
+            ticket.finish(Finish::Cancelled);
+            return Err(Refusal::unknown(Reason::Deadline, "the work was cancelled"));
+        }
+        // Work that runs at most once goes on, so that its outcome is known.
+        () = cancel.cancelled(), if !once => {
+            ticket.finish(Finish::Cancelled);
+            return Err(Refusal::unknown(Reason::Deadline, "the caller disconnected"));
+        }
+    };
+    let response = outcome.map_err(|error| {
+        ticket.finish(Finish::Failed);
+        match error {
+            target::Error::Unsent(detail) => Refusal::not_run(Reason::TargetUnreachable, detail),
+            target::Error::Broken(detail) => Refusal::unknown(Reason::ConnectionLost, detail),
+        }
+    })?;
+    if let Some(refusal) = shed(response.headers()) {
+        ticket.finish(Finish::Shed {
+            retry_after: refusal.retry_after,
+        });
+        return Err(refusal);
+    }
+    Ok(response)
+}
+
+/// Sends the request, over a new connection when the pooled one turns out to
+/// be closed.
+///
+/// Short work that may be repeated is sent a second time over a new connection
+/// when the first one stays silent for unusually long: something between the
+/// two ends may have lost track of it.
+async fn send(
+    context: &Context,
+    grant: &Grant,
+    request: HttpRequest<Body>,
+    class: Class,
+) -> Result<Response<Incoming>, target::Error> {
+    let (client, address) = (&context.client, grant.target);
+    let once = grant.rule.execution == Execution::Once;
+    let spare = copy(&request);
+    let path = if once { Path::Recent } else { Path::Pooled };
+    let first = client.send(path, address, request);
+    tokio::pin!(first);
+    let Some(spare) = spare else {
+        return first.await;
+    };
+    let repeat = !once && class == Class::Short;
+    tokio::select! {
+        outcome = &mut first => {
+            return match outcome {
+                Err(target::Error::Unsent(_)) => client.send(Path::Fresh, address, spare).await,
+                outcome => outcome,
+            };
+        }
+        () = sleep(silence(context)), if repeat => {}
+    }
+    let second = client.send(Path::Fresh, address, spare);
+    tokio::pin!(second);
+    tokio::select! {
+        outcome = &mut first => match outcome {
+            Ok(response) => Ok(response),
+            Err(_) => second.await,
+        },
+        outcome = &mut second => match outcome {
+            Ok(response) => Ok(response),
+            Err(_) => first.await,
+        },
+    }
+}
+
+fn silence(context: &Context) -> Duration {
+    let service = context
+        .admission
+        .inspect(|router| router.summary().service)
+        .unwrap_or_default();
+    SILENT.max(service * UNUSUAL)
+}
+
+/// The same request again, when its body is in memory.
+fn copy(request: &HttpRequest<Body>) -> Option<HttpRequest<Body>> {
+    let mut copy = HttpRequest::new(request.body().copy()?);
+    copy.method_mut().clone_from(request.method());
+    copy.uri_mut().clone_from(request.uri());
+    copy.headers_mut().clone_from(request.headers());
+    Some(copy)
+}
+
+/// The request as the target gets it.
+fn outgoing(context: &Context, job: &mut Job, grant: &Grant) -> Result<HttpRequest<Body>, Refusal> {
+    let remaining = job.deadline.saturating_sub(context.clock.now());
+    if remaining.is_zero() {
+        let detail = "the deadline has passed";
+        return Err(Refusal::not_run(Reason::Deadline, detail));
+    }
+    let mut request = HttpRequest::new(std::mem::replace(&mut job.body, Body::empty()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    *request.headers_mut() = std::mem::take(&mut job.headers);
+    let headers = request.headers_mut();
+    set(headers, names::EPOCH, grant.epoch.get());
+    set(headers, names::SHARD, grant.shard.get());
+    set(headers, names::DEADLINE, remaining.as_millis());
+    set(headers, names::POOL, &grant.rule.pool);
+    set(headers, names::MEMBER, &grant.rule.member);
+    set(headers, header::HOST, grant.target);
+    Ok(request)
+}
+
+/// A response by which the target says that it did not start the work.
+fn shed(headers: &HeaderMap) -> Option<Refusal> {
+    let outcome = headers.get(names::OUTCOME)?;
+    if outcome.as_bytes() != Outcome::NotRun.as_str().as_bytes() {
+        return None;
+    }
+    let refusal = Refusal::not_run(Reason::TargetUnavailable, "the target shed the request");
+    let seconds = headers
+        .get(header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok()?.parse().ok());
+    Some(match seconds {
+        Some(seconds) => refusal.after(Duration::from_secs(seconds)),
+        None => refusal,
+    })
+}
