--- a/wisteriaglade-consensus/tests/network.rs
+++ b/wisteriaglade-consensus/tests/network.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use rand::{RngExt as _, seq::IndexedRandom as _};
 use rstest::rstest;
@@ -293,6 +293,30 @@
     assert_ne!(network.raft(gone).role(), Role::Leader);
 }
 
+/// Guards against a group of one that cannot grow, shrink or move.
+#[rstest]
+#[case::move_to_others(&[2..3, 3..4])]
+#[case::grow(&[1..3, 1..4])]
+#[case::grow_and_shrink(&[1..3, 1..4, 2..4, 3..4])]
+fn changes_a_group_of_one(#[case] steps: &[Range<u64>]) {
+    let mut network = Network::new(1, 1, 2, small);
+    network.commit_one();
+    for step in steps {
+        let members: Vec<_> = step.clone().map(Replica::new).collect();
+        let leader = network.elect();
+        network.change(leader, members.clone());
+        network.run(3 * SECOND);
+
+        let leader = network.elect();
+        assert_eq!(network.raft(leader).members(), members);
+        assert!(members.contains(&leader));
+        network.commit_one();
+    }
+    let leader = network.elect();
+    let values = &network.running(leader).values;
+    assert_eq!(values.len(), steps.len() + 1);
+}
+
 /// Guards against a change after which two majorities need not overlap.
 #[test]
 fn refuses_to_replace_two_replicas() {
