Demand more evidence before a report or a target is mistrusted

The service time that is assumed at first is larger now, the variance has a floor of 0.5, and a report is refuted only by the evidence that a move of the limit needs.

--- a/wisteriaglade-router/src/knee.rs
+++ b/wisteriaglade-router/src/knee.rs
@@ -14,9 +14,10 @@
 /// since neighbouring levels differ too little to prove it wrong.
 const KEEP: f64 = 4.0;
 
-/// The variance that is assumed at least, since a target whose service times
-/// hardly vary would otherwise make any difference look significant.
-const VARIANCE: f64 = 0.04;
+/// The variance that is assumed at least. Work that waits inside the target
+/// varies little from one request to the next, but only because they wait for
+/// the same others; taken as it is, such a variance makes noise look certain.
+const VARIANCE: f64 = 0.5;
 
 /// Service times below the resolution of a driver's clock count as this.
 const LEAST_SECONDS: f64 = 1e-6;
@@ -82,7 +83,7 @@
         let higher = (1..).take(self.levels.len()).skip(low as usize);
         let costs = higher.map(|knee| self.cost(knee));
         let least = costs.fold(f64::INFINITY, f64::min);
-        self.cost(low) - least > BACK * self.variance()
+        self.cost(low) - least > AWAY * self.variance()
     }
 
     fn best(&self, present: u32) -> (u32, f64) {
--- a/wisteriaglade-router/src/watch.rs
+++ b/wisteriaglade-router/src/watch.rs
@@ -21,8 +21,9 @@
 const LONG: u32 = 20;
 const LONGEST: u32 = 4;
 
-/// What is assumed as the service time before the first answer.
-const UNKNOWN: Duration = Duration::from_millis(50);
+/// The least service time that is assumed until enough answers are known. With
+/// 50 ms, three long requests at the start were taken for a silent target.
+const UNKNOWN: Duration = Duration::from_millis(100);
 
 /// Watches whether the target responds. Only answers count: the target's own
 /// reports can say that it is healthy while it answers nothing.
@@ -123,7 +124,10 @@
     pub(crate) fn due(&self, running: &Running, lengths: &Lengths, sick: bool) -> Option<Duration> {
         let quiet = self.quiet.filter(|_| !self.suspect)?;
         let patience = |time: Duration| if sick { time / 2 } else { time };
-        let short = lengths.service().unwrap_or(UNKNOWN);
+        let mut short = lengths.service().unwrap_or(UNKNOWN);
+        if lengths.threshold().is_none() {
+            short = short.max(UNKNOWN);
+        }
         let long = lengths.expected(Class::Long).max(short) * LONG;
         let long = long.max(lengths.longest() * LONGEST);
         let (mut starts, mut first_long) = (Vec::new(), None::<Duration>);
