--- a/wisteriaglade-node/src/admin/operators.rs
+++ b/wisteriaglade-node/src/admin/operators.rs
@@ -220,7 +220,12 @@
         longest,
     };
     let reply = context.propose(command, PATIENCE).await;
-    info!(event = "rules-change", id = change.id, operator = %operator, reply = ?reply);
+    info!(
+        event = "rules-change",
+        id = change.id,
+        operator = %operator,
+        accepted = matches!(reply, Some(Reply::Version(_)))
+    );
     match reply {
         Some(Reply::Version(version)) => json(
             StatusCode::OK,
--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -200,7 +200,7 @@
         }
         let mut outputs = Vec::new();
         for command in commands {
-            info!(event = "plan", command = ?command);
+            log(&command);
             let step = self.proposal(&command, None);
             self.raft.step(self.clock.now(), step, &mut outputs);
         }
@@ -343,7 +343,12 @@
     }
 
     fn role(&mut self, role: Role, term: u64, leader: Option<Replica>) {
-        info!(event = "role", role = role.as_str(), term, leader = ?leader.map(Replica::get));
+        info!(
+            event = "role",
+            role = role.as_str(),
+            term,
+            leader = leader.map_or(0, Replica::get)
+        );
         if role == Role::Leader {
             // Everything in the log when the term began, and the empty entry
             // after it, is applied before the planner decides anything.
@@ -372,6 +377,23 @@
     }
 }
 
+/// Logs a planned command without its list of shards.
+fn log(command: &Command) {
+    match command {
+        Command::Assign { pool, moves } => {
+            info!(event = "plan-assign", pool = %pool, shards = moves.len());
+        }
+        Command::Transfer { pool, shard, to } => {
+            info!(event = "plan-transfer", pool = %pool, shard = shard.get(), to = to.get());
+        }
+        Command::Fence { node } => info!(event = "plan-fence", node = node.get()),
+        Command::Remove { node } => info!(event = "plan-remove", node = node.get()),
+        Command::Single { pool, hash } => info!(event = "plan-single", pool = %pool, key = %hash),
+        Command::Merge { pool, hash } => info!(event = "plan-merge", pool = %pool, key = %hash),
+        other => info!(event = "plan", command = ?other),
+    }
+}
+
 fn note_fences(fences: &mut BTreeMap<Index, wisteriaglade_types::Node>, entries: &[Entry]) {
     for entry in entries {
         if let Payload::Data(data) = &entry.payload
--- a/wisteriaglade-node/src/session.rs
+++ b/wisteriaglade-node/src/session.rs
@@ -102,7 +102,11 @@
     let Some(command) = announcement(context, node, wanted) else {
         return;
     };
-    info!(event = "announce", command = ?command);
+    match &command {
+        Command::Announce { pool, .. } => info!(event = "announce", pool = %pool),
+        Command::Drain { .. } => info!(event = "drain"),
+        _ => info!(event = "leave"),
+    }
     if context.propose(command, PATIENCE).await.is_none() {
         // Nothing else would wake the session to try again.
         context.announced.send_modify(|_| {});
