Name the epoch in a transfer

A transfer is repeated after 500 ms when its commit is slow. Its second copy could then commit after the shard had moved and move it on from the new owner. A transfer now names the epoch of the grant, as an assignment and a release do.

The random test of lost nodes also varies the time to a commit.

--- a/wisteriaglade-control/benches/control.rs
+++ b/wisteriaglade-control/benches/control.rs
@@ -105,6 +105,7 @@
         let transfer = Command::Transfer {
             pool: name.clone(),
             shard,
+            epoch,
             to,
         };
         let release = Command::Release {
--- a/wisteriaglade-control/src/command.rs
+++ b/wisteriaglade-control/src/command.rs
@@ -63,12 +63,15 @@
         /// The shards and their new owners.
         moves: Vec<Move>,
     },
-    /// Asks the owner of a shard to hand it over.
+    /// Asks the owner of a shard to hand it over. The epoch is named so that a
+    /// late copy of the proposal does not move the shard on from its new owner.
     Transfer {
         /// The pool of the shard.
         pool: Name,
         /// The shard to move.
         shard: Shard,
+        /// The epoch of the current grant.
+        epoch: Epoch,
         /// The new owner.
         to: Node,
     },
--- a/wisteriaglade-control/src/planner/assign.rs
+++ b/wisteriaglade-control/src/planner/assign.rs
@@ -70,6 +70,7 @@
                     commands.push(Command::Transfer {
                         pool: task.name.clone(),
                         shard: grant.shard,
+                        epoch: grant.epoch,
                         to,
                     });
                 }
--- a/wisteriaglade-control/src/planner/balance.rs
+++ b/wisteriaglade-control/src/planner/balance.rs
@@ -48,6 +48,7 @@
             commands.push(Command::Transfer {
                 pool: task.name.clone(),
                 shard: item.grant.shard,
+                epoch: item.grant.epoch,
                 to,
             });
         }
--- a/wisteriaglade-control/src/planner/hot.rs
+++ b/wisteriaglade-control/src/planner/hot.rs
@@ -107,8 +107,12 @@
             let ready = task.state.node(to);
             if ready.is_some_and(|node| node.is_ready(task.name.as_str())) {
                 plan.propose(task.now, &from, to, plan.keys.rate(task.now, hash));
-                let shard = from.shard;
-                commands.push(Command::Transfer { pool, shard, to });
+                commands.push(Command::Transfer {
+                    pool,
+                    shard: from.shard,
+                    epoch: from.epoch,
+                    to,
+                });
             }
             return;
         }
--- a/wisteriaglade-control/src/state/apply.rs
+++ b/wisteriaglade-control/src/state/apply.rs
@@ -34,7 +34,12 @@
             Command::Fence { node } => self.fence(*node),
             Command::Remove { node } => self.remove(*node),
             Command::Assign { pool, moves } => self.assign(pool, moves),
-            Command::Transfer { pool, shard, to } => self.transfer(pool, *shard, *to),
+            Command::Transfer {
+                pool,
+                shard,
+                epoch,
+                to,
+            } => self.transfer(pool, *shard, *epoch, *to),
             Command::Release { node, shards } => self.release(*node, shards),
             Command::Hold {
                 node,
@@ -176,8 +181,11 @@
         Ok(())
     }
 
-    fn transfer(&mut self, pool: &Name, shard: Shard, to: Node) -> Effect {
+    fn transfer(&mut self, pool: &Name, shard: Shard, epoch: Epoch, to: Node) -> Effect {
         let row = *self.row(pool, shard)?;
+        if row.epoch != epoch {
+            return Err(Reason::Epoch);
+        }
         if row.owner == Row::NONE || self.is_fenced(row.owner) {
             return Err(Reason::NoOwner);
         }
--- a/wisteriaglade-control/tests/commands.rs
+++ b/wisteriaglade-control/tests/commands.rs
@@ -37,7 +37,7 @@
     cluster.give([2], FENCED, &[A, B, C]);
     cluster.apply(&Command::Fence { node: FENCED });
     cluster.apply(&Command::Drain { node: DRAINING });
-    assert_eq!(cluster.apply(&transfer(1, B)), Reply::Accepted);
+    assert_eq!(cluster.apply(&transfer(1, EPOCH[1], B)), Reply::Accepted);
     cluster
 }
 
@@ -103,11 +103,12 @@
 #[case::a_node_without_target_gains(assign(vec![change(3, 0, JOINED, &[])]), refused(Reason::NotReady))]
 #[case::a_shard_out_of_range(assign(vec![change(4, 0, B, &[])]), refused(Reason::Shard))]
 #[case::a_fenced_first_holder(assign(vec![change(3, 0, B, &[FENCED])]), refused(Reason::Holders))]
-#[case::a_move_to_the_owner(transfer(0, A), refused(Reason::Owned))]
-#[case::a_second_move_at_once(transfer(1, C), refused(Reason::Moving))]
-#[case::a_fenced_owner_is_asked(transfer(2, B), refused(Reason::NoOwner))]
-#[case::nobody_is_asked(transfer(3, B), refused(Reason::NoOwner))]
-#[case::a_move_to_a_draining_node(transfer(0, DRAINING), refused(Reason::NotReady))]
+#[case::a_move_to_the_owner(transfer(0, EPOCH[0], A), refused(Reason::Owned))]
+#[case::a_late_move_of_an_earlier_grant(transfer(0, 3, B), refused(Reason::Epoch))]
+#[case::a_second_move_at_once(transfer(1, EPOCH[1], C), refused(Reason::Moving))]
+#[case::a_fenced_owner_is_asked(transfer(2, EPOCH[2], B), refused(Reason::NoOwner))]
+#[case::nobody_is_asked(transfer(3, EPOCH[3], B), refused(Reason::NoOwner))]
+#[case::a_move_to_a_draining_node(transfer(0, EPOCH[0], DRAINING), refused(Reason::NotReady))]
 #[case::a_move_cannot_end(release(A, 1, EPOCH[1]), ACCEPTED)]
 #[case::another_node_releases(release(B, 1, EPOCH[1]), refused(Reason::NotOwner))]
 #[case::a_late_release_of_an_earlier_grant(release(A, 1, 2), refused(Reason::Epoch))]
@@ -186,11 +187,11 @@
     assert_eq!(cluster.state.holders(POOL, split.shard), [B, C]);
     assert_eq!(cluster.state.shards_of(A).count(), 3);
 
-    cluster.apply(&transfer(4, C));
+    cluster.apply(&transfer(4, split.epoch.get(), C));
     assert_eq!(cluster.apply(&merge(0)), refused(Reason::Moving));
     cluster.apply(&release(A, 4, split.epoch.get()));
     assert_eq!(cluster.apply(&merge(0)), refused(Reason::Owned));
-    cluster.apply(&transfer(4, A));
+    cluster.apply(&transfer(4, cluster.epoch(4), A));
     cluster.apply(&release(C, 4, cluster.epoch(4)));
     cluster.apply(&hold(A, EPOCH[0], &[C]));
     assert_eq!(cluster.apply(&merge(0)), refused(Reason::Holders));
@@ -268,7 +269,7 @@
 fn an_entry_is_applied_once() {
     let mut cluster = cluster();
     let before = cluster.state.clone();
-    let reply = cluster.state.apply(index(18), &transfer(0, B));
+    let reply = cluster.state.apply(index(18), &transfer(0, EPOCH[0], B));
     assert_eq!(reply, refused(Reason::Applied));
     assert_eq!(cluster.state, before);
 }
--- a/wisteriaglade-control/tests/duties.rs
+++ b/wisteriaglade-control/tests/duties.rs
@@ -58,11 +58,15 @@
     );
 }
 
-#[test]
-fn a_draining_node_is_emptied_and_each_shard_moves_once() {
+// A repeated proposal that commits late must not move a shard on.
+#[rstest]
+#[case::quick_commits(10)]
+#[case::commits_slower_than_the_repeat(800)]
+fn a_draining_node_is_emptied_and_each_shard_moves_once(#[case] delay: u64) {
     let (mut driver, nodes) = Driver::started(256, &[12, 12, 24, 12]);
+    driver.delay = Some(ms(delay));
     driver.apply(Command::Drain { node: nodes[3] });
-    driver.run(ms(1_000));
+    driver.run(ms(990 + delay));
     assert_eq!(driver.held(nodes[3]), 0);
     assert_near(driver.held(nodes[0]), 64);
     assert_near(driver.held(nodes[2]), 128);
@@ -262,9 +266,11 @@
     let (mut driver, nodes, hash) = hot(1_000.0, 1_000.0);
     driver.run(ms(10_000));
     let shard = driver.state().pool(POOL).unwrap().dedicated(hash).unwrap();
+    let epoch = driver.state().locate(POOL, hash).unwrap().epoch;
     driver.apply(Command::Transfer {
         pool: POOL.into(),
         shard,
+        epoch,
         to: nodes[1],
     });
     driver.loads.insert(nodes[0], load(0.5, 1_000.0, &[]));
--- a/wisteriaglade-control/tests/loss.rs
+++ b/wisteriaglade-control/tests/loss.rs
@@ -159,6 +159,7 @@
     for seed in 0..60 {
         let mut random = SmallRng::seed_from_u64(seed);
         let (mut driver, _) = Driver::started(16, &[12; 5]);
+        driver.delay = Some(ms(random.random_range(10..700)));
         for _ in 0..60 {
             let nodes: Vec<_> = driver.state().nodes().collect();
             let node = nodes
--- a/wisteriaglade-control/tests/random.rs
+++ b/wisteriaglade-control/tests/random.rs
@@ -42,7 +42,7 @@
             change(shard, epoch, one, &[two, owner]),
             change(0, epoch, two, &[]),
         ]),
-        57..69 => transfer(shard, one),
+        57..69 => transfer(shard, epoch, one),
         69..81 => release(owner, shard, epoch),
         81..87 => Command::Hold {
             node: owner,
