--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -383,7 +383,9 @@
         Command::Assign { pool, moves } => {
             info!(event = "plan-assign", pool = %pool, shards = moves.len());
         }
-        Command::Transfer { pool, shard, to } => {
+        Command::Transfer {
+            pool, shard, to, ..
+        } => {
             info!(event = "plan-transfer", pool = %pool, shard = shard.get(), to = to.get());
         }
         Command::Fence { node } => info!(event = "plan-fence", node = node.get()),
