Refuse to start with a vote that is older than the log

A vote file that is missing, or was restored from a copy, lets a replica vote twice in a term. A term is stored before its first entry, so the case shows in the log. So far only Raft::new noticed it, with a panic.

The storage tests now store a vote before entries, as a replica does. The cases of incomplete state also check which file the error names, which is stricter than before.

--- a/wisteriaglade-consensus/src/storage/start.rs
+++ b/wisteriaglade-consensus/src/storage/start.rs
@@ -57,11 +57,13 @@
         let base = snapshot.as_ref().map_or(Index::new(0), |s| s.index);
         self.last = entries.last().map_or(base, |entry: &Entry| entry.index);
         self.snapshot = snapshot.as_ref().map(|snapshot| snapshot.index);
-        Ok(Restored {
+        let restored = Restored {
             vote,
             snapshot,
             entries,
-        })
+        };
+        check_term(&restored)?;
+        Ok(restored)
     }
 
     fn list(&self) -> Result<Vec<String>> {
@@ -174,3 +176,17 @@
         Ok(replay)
     }
 }
+
+/// A term is stored as a vote before any entry of it, so a later entry means
+/// that the vote is lost and could be given twice.
+fn check_term(restored: &Restored) -> Result<()> {
+    let entry = restored.entries.last().map(|entry| entry.term);
+    let snapshot = restored.snapshot.as_ref().map(|snapshot| snapshot.term);
+    let log = entry.max(snapshot).unwrap_or_default();
+    let vote = restored.vote.term;
+    if log > vote {
+        let detail = format!("the log holds term {log}, but the vote is of term {vote}");
+        return Err(Error::corrupt(VOTE, 0, detail));
+    }
+    Ok(())
+}
--- a/wisteriaglade-consensus/tests/storage.rs
+++ b/wisteriaglade-consensus/tests/storage.rs
@@ -79,7 +79,7 @@
         Change::Compact(snapshot(5, 2)),
         append(9..=9, 2),
         truncate(9),
-        vote(4),
+        vote(5),
         append(9..=12, 4),
         Change::Compact(snapshot(10, 4)),
         Change::Install(snapshot(11, 5)),
@@ -100,6 +100,8 @@
 fn small_log() -> (Memory, Vec<usize>, Vec<Restored>) {
     let disk = Memory::default();
     let (mut storage, mut state) = open(&disk, u64::MAX);
+    storage.persist(&vote(9)).expect("a healthy disk");
+    model(&mut state, &vote(9));
     let mut starts = Vec::new();
     let mut states = Vec::new();
     // The last record contains a copy of the log so far: an interrupted write
@@ -244,36 +246,46 @@
     }
 }
 
-/// Guards against a log that starts although a part of it is gone.
+fn cut(disk: &mut Memory, file: &str) {
+    disk.edit(file, |bytes| bytes.truncate(bytes.len() - 1));
+}
+
+fn remove(disk: &mut Memory, file: &str) {
+    disk.remove(file).expect("the file");
+}
+
+/// Guards against a start although a part of the state is gone. The error names
+/// the file that is missing or damaged.
 #[rstest]
-#[case::truncated_segment(&[append(1..=2, 1), append(3..=4, 1)], |disk: &mut Memory| {
-    disk.edit(LOG, |bytes| { bytes.pop(); });
-})]
-#[case::missing_segment(&[append(1..=2, 1), append(3..=4, 1)], |disk: &mut Memory| {
-    disk.remove(LOG).expect("a segment");
-})]
-#[case::missing_only_segment(&[vote(1)], |disk: &mut Memory| {
-    disk.remove(LOG).expect("a segment");
-})]
-#[case::missing_snapshot(&[append(1..=2, 1), append(3..=3, 1), Change::Compact(snapshot(2, 1))],
-    |disk: &mut Memory| disk.remove("snapshot-00000000000000000002").expect("a snapshot"))]
-#[case::missing_format(&[vote(1)], |disk: &mut Memory| {
-    disk.remove("format").expect("the format");
-})]
-fn refuses_a_log_with_a_gap(#[case] changes: &[Change], #[case] damage: fn(&mut Memory)) {
+#[case::short_segment(&[append(1..=2, 1), append(3..=4, 1)], cut, LOG, LOG)]
+#[case::no_first_segment(&[append(1..=2, 1), append(3..=4, 1)], remove, LOG, LOG)]
+#[case::no_segment(&[], remove, LOG, LOG)]
+#[case::no_snapshot(&[append(1..=2, 1), append(3..=3, 1), Change::Compact(snapshot(2, 1))],
+    remove, "snapshot-00000000000000000002", LOG)]
+#[case::no_vote(&[append(1..=2, 1)], remove, "vote", "vote")]
+#[case::no_vote_after_a_snapshot(&[Change::Install(snapshot(2, 1))], remove, "vote", "vote")]
+#[case::no_format(&[], remove, "format", "format")]
+fn refuses_incomplete_state(
+    #[case] changes: &[Change],
+    #[case] damage: fn(&mut Memory, &str),
+    #[case] file: &str,
+    #[case] named: &str,
+) {
     let mut disk = Memory::default();
     let (mut storage, _) = open(&disk, 1);
+    storage.persist(&vote(1)).expect("a healthy disk");
     for change in changes {
         storage.persist(change).expect("a healthy disk");
     }
 
-    damage(&mut disk);
+    damage(&mut disk, file);
 
-    let error = Storage::with(disk).expect_err("a gap");
+    let error = Storage::with(disk).expect_err("an incomplete state");
     assert!(
         matches!(error.kind(), Kind::Corrupt | Kind::Format),
         "{error}"
     );
+    assert_eq!(error.file(), named, "{error}");
 }
 
 /// Guards against a change that is accepted after a failure, and against a
