Let the limit recover when only long work runs

After a shed request the limit rose with answers of short work only, so with long work alone it stayed at one. the_limit_recovers_with_long_work_alone fails without the change (limit 1 instead of 12).

--- a/wisteriaglade-router/src/limit.rs
+++ b/wisteriaglade-router/src/limit.rs
@@ -102,13 +102,8 @@
         times.filter(|at| *at > now).min()
     }
 
-    /// A short request was served while `long` long ones ran. `binding` says
-    /// whether the limit held work back.
-    pub(crate) fn served(&mut self, now: Duration, job: &Job, long: u32, binding: bool) {
-        let busy = now.saturating_sub(job.started);
-        // The concurrency at dispatch: the one at the end depends on how long
-        // the request took, which would bias the service times.
-        self.knee.observe(job.concurrency, busy.as_secs_f64());
+    /// Any request was served.
+    pub(crate) fn served(&mut self, now: Duration) {
         if let Some(brake) = &mut self.brake {
             brake.served(now);
             if brake.cap(now) >= f64::from(self.value) && now >= brake.until() {
@@ -118,6 +113,15 @@
         if self.cold.is_some_and(|(from, time)| now >= from + time) {
             self.cold = None;
         }
+    }
+
+    /// A short request was served while `long` long ones ran. `binding` says
+    /// whether the limit held work back.
+    pub(crate) fn learn(&mut self, now: Duration, job: &Job, long: u32, binding: bool) {
+        let busy = now.saturating_sub(job.started);
+        // The concurrency at dispatch: the one at the end depends on how long
+        // the request took, which would bias the service times.
+        self.knee.observe(job.concurrency, busy.as_secs_f64());
         if !binding {
             // A probe must not outlast the load that started it: at twice the
             // limit, the next burst would wait inside the target.
--- a/wisteriaglade-router/src/target.rs
+++ b/wisteriaglade-router/src/target.rs
@@ -102,12 +102,15 @@
         let total = running.total();
         self.trust.observe(now, total);
         match result {
-            Finish::Served if job.waiting.class == Class::Short => {
-                let long = running.count(Class::Long);
-                self.limit.served(now, job, long, binding);
+            Finish::Served => {
+                self.limit.served(now);
+                if job.waiting.class == Class::Short {
+                    let long = running.count(Class::Long);
+                    self.limit.learn(now, job, long, binding);
+                }
             }
             Finish::Shed { retry_after } => self.limit.shed(now, total, retry_after),
-            Finish::Served | Finish::Failed | Finish::Cancelled => {}
+            Finish::Failed | Finish::Cancelled => {}
         }
         self.watch.ended(now, job, result, lengths, total == 0) && self.adaptive
     }
--- a/wisteriaglade-router/tests/admission.rs
+++ b/wisteriaglade-router/tests/admission.rs
@@ -322,3 +322,23 @@
 
     assert!(dispatched(&effects, 11).is_some(), "{effects:?}");
 }
+
+/// Guards against a limit that stays low after a shed request because only
+/// long work runs.
+#[test]
+fn the_limit_recovers_with_long_work_alone() {
+    let mut router = router(12, Config::default());
+    for id in 0..2 {
+        step(&mut router, MS, arrive(id, Length::Long));
+    }
+    let retry_after = None;
+    step(&mut router, 2 * MS, finish(0, Finish::Shed { retry_after }));
+    step(&mut router, 3 * MS, finish(1, Finish::Served));
+    let lowered = router.summary().limit;
+
+    let long = (100..250).map(|id| arrive(id, Length::Long)).collect();
+    serve(&mut router, long, 5 * MS);
+
+    assert_eq!(lowered, 1);
+    assert_eq!(router.summary().limit, 12);
+}
