Document the router and bound extreme announcements

The crate documentation names the duties, the contract with the driver and the sources. A target could make the router allocate one entry for each announced slot, and overflow a time with an extreme cold start, so slots, connections and the cold start are bounded now.

--- a/wisteriaglade-router/src/effect.rs
+++ b/wisteriaglade-router/src/effect.rs
@@ -39,8 +39,10 @@
         /// The number of connections.
         connections: u32,
     },
-    /// The target does not respond.
+    /// The target does not respond. Waiting work is refused, and so are new
+    /// requests, except for one trial at a time.
     Suspect,
-    /// The target responds again.
+    /// The target responds again, or announced itself anew. It does not follow
+    /// a suspicion that ended because the target is gone.
     Recovered,
 }
--- a/wisteriaglade-router/src/lib.rs
+++ b/wisteriaglade-router/src/lib.rs
@@ -1,15 +1,48 @@
 //! Admission, fairness, limits, health and retries as a reducer without I/O.
 //!
-//! A [`Router`] decides for one target which request runs next, which one
-//! waits and which one is refused. It has no clock and no source of
-//! randomness: the driver passes the time and executes the effects.
+//! One process runs beside each target, and one [`Router`] in it decides which
+//! request runs next, which one waits and which one is refused. The package has
+//! no clock, no randomness and no I/O: the driver passes the time and the
+//! events to [`Router::step`] and executes the [`Effect`]s. The same events at
+//! the same times give the same effects.
+//!
+//! # Duties
+//!
+//! - *Decisions.* Each [`Event::Arrive`] gets exactly one [`Effect::Dispatch`]
+//!   or [`Effect::Refuse`]. A refused request was not dispatched, so the answer
+//!   is `not-run`. A dispatched request ends with one [`Event::Finish`];
+//!   [`Effect::Cancel`] asks the driver to bring that about.
+//! - *Concurrency limit.* It starts at the announced slots and follows the
+//!   service times, between 1 and the smaller of twice the slots and the
+//!   connections. A shed request lowers it at once.
+//! - *Fairness.* Start-time fair queueing over busy time among members, then
+//!   among the callers of a member. An idle member collects no credit; what it
+//!   leaves unused goes to the others until it returns.
+//! - *Deadlines.* A request that cannot meet its deadline is refused on arrival
+//!   or as soon as that is known, with an estimated retry-after time. While the
+//!   queue is standing, the freshest request of a caller goes first.
+//! - *Long work.* It uses at most half of the slots, and a quarter while short
+//!   work queues, but always one. The length comes from the rule or is learned
+//!   by route and key; work that takes too long counts as long from then on.
+//! - *Health.* A target that answers nothing for too long is reported with
+//!   [`Effect::Suspect`]. Its own reports count only while they agree with its
+//!   answers. A cold target is ramped up.
+//! - *Connections.* [`Effect::Warm`] follows the recent peak of concurrency.
+//!
+//! [`retry::Budget`] and [`peer::Health`] are separate: a node uses them for
+//! the requests that it forwards.
 //!
 //! # Usage
 //!
+//! Announce the target, pass the events and execute the effects. Between
+//! events, pass [`Event::Tick`] at the time that [`Router::wake`] returns.
+//!
 //! ```
 //! use std::time::Duration;
 //!
-//! use wisteriaglade_router::{Arrival, Capacity, Class, Config, Effect, Event, Length, Router};
+//! use wisteriaglade_router::{
+//!     Arrival, Capacity, Class, Config, Effect, Event, Finish, Length, Router,
+//! };
 //! use wisteriaglade_types::{Hash, Name, Request};
 //!
 //! let mut router = Router::new(Config::default());
@@ -33,10 +66,59 @@
 //!     deadline: Duration::from_secs(2),
 //! };
 //! router.step(Duration::from_millis(1), Event::Arrive(arrival), &mut effects);
-//!
 //! let dispatch = Effect::Dispatch { request, class: Class::Short };
 //! assert!(effects.contains(&dispatch));
+//!
+//! // The deadline is the next moment at which something happens by itself.
+//! assert!(router.wake() <= Some(Duration::from_secs(2)));
+//! let result = Finish::Served;
+//! router.step(Duration::from_millis(9), Event::Finish { request, result }, &mut effects);
+//! assert_eq!(router.members()[&Name::from("ribeira")].served, 1);
+//! assert_eq!(router.summary().service, Some(Duration::from_millis(8)));
+//! ```
+//!
+//! # Examples
+//!
+//! Without a target, requests are refused at once:
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use wisteriaglade_router::{Arrival, Config, Effect, Event, Length, Reason, Router};
+//! use wisteriaglade_types::{Hash, Name, Request};
+//!
+//! let mut router = Router::new(Config::default());
+//! let mut effects = Vec::new();
+//! let arrival = Arrival {
+//!     request: Request::new(1),
+//!     member: Name::from("llewellyn"),
+//!     caller: Name::from("shop"),
+//!     route: 1,
+//!     key: Hash::of("design-17"),
+//!     weight: 1,
+//!     length: Length::Learned,
+//!     deadline: Duration::from_secs(1),
+//! };
+//! router.step(Duration::ZERO, Event::Arrive(arrival), &mut effects);
+//! assert!(matches!(effects[0], Effect::Refuse { reason: Reason::Absent, .. }));
 //! ```
+//!
+//! The policy that measurements compare against:
+//!
+//! ```
+//! use wisteriaglade_router::{Config, Policy, Router};
+//!
+//! let config = Config { policy: Policy::Baseline, ..Config::default() };
+//! let router = Router::new(config);
+//! assert_eq!(router.summary().limit, 0, "no target yet");
+//! ```
+//!
+//! # Sources
+//!
+//! Start-time fair queueing: Goyal, Vin and Cheng, 1996. Standing queues:
+//! Nichols and Jacobson, "Controlling Queue Delay", 2012. Sketch: Cormode and
+//! Muthukrishnan, 2005. Little's law relates concurrency, rate and service
+//! time; see the estimate of the limit.
 
 mod arrival;
 mod brake;
--- a/wisteriaglade-router/src/limit.rs
+++ b/wisteriaglade-router/src/limit.rs
@@ -54,7 +54,7 @@
             // The first probe goes down: too many announced slots harm more.
             upward: true,
             brake: None,
-            cold: Some((now, capacity.cold_start)).filter(|(_, time)| !time.is_zero()),
+            cold: Some((now, capacity.cold_start())).filter(|(_, time)| !time.is_zero()),
             reported: None,
         }
     }
--- a/wisteriaglade-router/src/policy.rs
+++ b/wisteriaglade-router/src/policy.rs
@@ -8,7 +8,8 @@
     #[default]
     Adaptive,
     /// First in first out with a fixed limit equal to the announced slots and
-    /// no refusal except a full queue or a passed deadline. It exists to
-    /// compare measurements against.
+    /// no refusal except a full queue or a passed deadline. It does not watch
+    /// the target and keeps no connections warm. It exists to compare
+    /// measurements against.
     Baseline,
 }
--- a/wisteriaglade-router/src/router.rs
+++ b/wisteriaglade-router/src/router.rs
@@ -26,6 +26,11 @@
 /// # Example
 ///
 /// See the [crate documentation](crate).
+///
+/// # Errors and panics
+///
+/// Every event is accepted in every state. A `Finish` or `Depart` of an unknown
+/// request and a second arrival of a known one are ignored.
 #[derive(Debug)]
 pub struct Router {
     config: Config,
--- a/wisteriaglade-router/src/target.rs
+++ b/wisteriaglade-router/src/target.rs
@@ -28,9 +28,9 @@
             adaptive: config.policy == Policy::Adaptive,
             announced: now,
             limit: Limit::new(&capacity, now),
-            watch: Watch::new(config.silence, now + capacity.cold_start),
+            watch: Watch::new(config.silence, now + capacity.cold_start()),
             trust: Trust::new(now),
-            warm: Warm::new(now, config.warm_rate, capacity.connections.max(1)),
+            warm: Warm::new(now, config.warm_rate, capacity.connections()),
             capacity,
         }
     }
--- a/wisteriaglade-router/tests/admission.rs
+++ b/wisteriaglade-router/tests/admission.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use support::{MS, arrival, capacity, finish};
 use wisteriaglade_router::{
-    Arrival, Capacity, Class, Config, Effect, Event, Finish, Length, Policy, Reason, Router,
+    Arrival, Capacity, Class, Config, Effect, Event, Finish, Length, Policy, Reason, Report, Router,
 };
 use wisteriaglade_types::{Hash, Name, Request};
 
@@ -342,3 +342,39 @@
     assert_eq!(lowered, 1);
     assert_eq!(router.summary().limit, 12);
 }
+
+/// Guards against an overflow or an allocation that a target or a caller can
+/// cause with extreme values.
+#[test]
+fn extreme_values_are_accepted() {
+    let mut router = Router::new(Config::default());
+    let target = Event::Target(Some(Capacity {
+        slots: u32::MAX,
+        connections: u32::MAX,
+        cold_start: Duration::MAX,
+    }));
+    let patient = Arrival {
+        deadline: Duration::MAX,
+        weight: u32::MAX,
+        ..arrival(1)
+    };
+    let retry_after = Some(Duration::MAX);
+    let report = Report {
+        running: u32::MAX,
+        queued: u32::MAX,
+        healthy: true,
+    };
+    let waits = Arrival {
+        request: Request::new(2),
+        ..patient.clone()
+    };
+    let shed = finish(1, Finish::Shed { retry_after });
+
+    let events = [target, Event::Arrive(patient), Event::Arrive(waits), shed];
+    for event in events.into_iter().chain([Event::Report(report)]) {
+        step(&mut router, MS, event);
+    }
+    let later = step(&mut router, 30_001 * MS, Event::Tick);
+
+    assert!(dispatched(&later, 2).is_some(), "{:?}", router.summary());
+}
