--- a/wisteriaglade-router/src/target.rs
+++ b/wisteriaglade-router/src/target.rs
@@ -28,9 +28,9 @@
             adaptive: config.policy == Policy::Adaptive,
             announced: now,
             limit: Limit::new(&capacity, now),
-            watch: Watch::new(config.silence, now + capacity.cold_start),
+            watch: Watch::new(config.silence, now + capacity.cold_start()),
             trust: Trust::new(now),
-            warm: Warm::new(now, config.warm_rate, capacity.connections.max(1)),
+            warm: Warm::new(now, config.warm_rate, capacity.connections()),
             capacity,
         }
     }
@@ -102,12 +102,15 @@
         let total = running.total();
         self.trust.observe(now, total);
         match result {
-            Finish::Served if job.waiting.class == Class::Short => {
-                let long = running.count(Class::Long);
-                self.limit.served(now, job, long, binding);
+            Finish::Served => {
+                self.limit.served(now);
+                if job.waiting.class == Class::Short {
+                    let long = running.count(Class::Long);
+                    self.limit.learn(now, job, long, binding);
+                }
             }
             Finish::Shed { retry_after } => self.limit.shed(now, total, retry_after),
-            Finish::Served | Finish::Failed | Finish::Cancelled => {}
+            Finish::Failed | Finish::Cancelled => {}
         }
         self.watch.ended(now, job, result, lengths, total == 0) && self.adaptive
     }
