Take the settings that decide the outcome of commands from the log

Shards of a new pool and record holders came from each process's own settings, so two processes with different values applied one log to two tables, and a key could have had two owners. The first leader now proposes them once.

--- a/wisteriaglade-control/src/command.rs
+++ b/wisteriaglade-control/src/command.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use wisteriaglade_types::{Epoch, Hash, Name, Node, Shard, Version};
 
-use crate::{Move, Target};
+use crate::{Config, Move, Target};
 
 /// One change of the [`State`](crate::State), as an entry of the control log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -131,4 +131,11 @@
         /// computed, so that this package does not parse rules.
         longest: Vec<(Name, Duration)>,
     },
+    /// Sets the settings that decide the outcome of commands, once. They come
+    /// from the log and not from each process, since two processes with
+    /// different settings would apply the same log to different states.
+    Configure {
+        /// The settings.
+        config: Config,
+    },
 }
--- a/wisteriaglade-control/src/state/apply.rs
+++ b/wisteriaglade-control/src/state/apply.rs
@@ -3,7 +3,7 @@
 use wisteriaglade_types::{Epoch, Hash, Index, Name, Node, Shard};
 
 use super::{Pool, Process, Row, State, Status};
-use crate::{Command, Move, Reason, Reply, Target};
+use crate::{Command, Config, Move, Reason, Reply, Target};
 
 type Effect = std::result::Result<Reply, Reason>;
 
@@ -58,9 +58,21 @@
                 text,
                 longest,
             } => Ok(self.rules.change(*id, *base, operator, text, longest)),
+            Command::Configure { config } => self.configure(*config),
         }
     }
 
+    fn configure(&mut self, config: Config) -> Effect {
+        // A pool that exists has its number of shards for good.
+        if self.configured || !self.pools.is_empty() {
+            let same = self.config == config;
+            return same.then_some(Reply::Accepted).ok_or(Reason::Invalid);
+        }
+        self.config = config;
+        self.configured = true;
+        Ok(Reply::Accepted)
+    }
+
     fn join(&mut self, command: &Command) -> Effect {
         let Command::Join {
             ticket,
--- a/wisteriaglade-control/src/state/config.rs
+++ b/wisteriaglade-control/src/state/config.rs
@@ -4,8 +4,8 @@
 
 /// Settings of the state machine.
 ///
-/// All processes of a cluster must start with equal settings, because they
-/// decide the outcome of commands. A snapshot carries them.
+/// They decide the outcome of commands, so they are set by a command of the log
+/// ([`Command::Configure`](crate::Command::Configure)). A snapshot carries them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Config {
     /// The number of shards of a new pool, a power of two. Other values are
--- a/wisteriaglade-control/src/state/mod.rs
+++ b/wisteriaglade-control/src/state/mod.rs
@@ -50,6 +50,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct State {
     config: Config,
+    configured: bool,
     index: Index,
     nodes: BTreeMap<Node, Process>,
     pools: BTreeMap<Name, Pool>,
@@ -65,6 +66,7 @@
     pub fn new(config: Config) -> Self {
         Self {
             config,
+            configured: false,
             index: Index::new(0),
             nodes: BTreeMap::new(),
             pools: BTreeMap::new(),
@@ -78,6 +80,13 @@
         self.config
     }
 
+    /// Whether a [`Command::Configure`](crate::Command::Configure) has set the
+    /// settings.
+    #[must_use]
+    pub const fn is_configured(&self) -> bool {
+        self.configured
+    }
+
     /// The index of the last applied command.
     #[must_use]
     pub const fn index(&self) -> Index {
--- a/wisteriaglade-control/tests/commands.rs
+++ b/wisteriaglade-control/tests/commands.rs
@@ -6,7 +6,7 @@
 
 use fixture::{Cluster, POOL, address, assign, change, index, join, release, target, transfer};
 use rstest::rstest;
-use wisteriaglade_control::{Command, Kind, Reason, Reply, State, Status, Target};
+use wisteriaglade_control::{Command, Config, Kind, Reason, Reply, State, Status, Target};
 use wisteriaglade_types::{Epoch, Hash, Node, Shard, Version};
 
 const A: Node = Node::new(1);
@@ -320,3 +320,22 @@
         assert!(State::decode(&bytes[..at]).is_err());
     }
 }
+
+/// Guards against replicas whose own settings differ and that would apply the
+/// same log to different states.
+#[test]
+fn settings_come_from_the_log_and_only_once() {
+    let config = |shards| Config { shards, holders: 1 };
+    let configure = |shards| Command::Configure {
+        config: config(shards),
+    };
+    let mut cluster = Cluster::new(8);
+
+    assert_eq!(cluster.apply(&configure(16)), ACCEPTED);
+    assert_eq!(cluster.apply(&configure(16)), ACCEPTED);
+    assert_eq!(cluster.apply(&configure(32)), refused(Reason::Invalid));
+
+    cluster.ready(POOL, "Bangor");
+    assert_eq!(cluster.state.config(), config(16));
+    assert_eq!(cluster.state.shards(POOL).count(), 16);
+}
--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -315,7 +315,7 @@
     };
     let records = Records::new(settings.holder());
     Context {
-        view: RwLock::new(View::new(State::new(state(&settings)))),
+        view: RwLock::new(View::new(State::new(control::Config::default()))),
         applied: watch::channel(Index::default()).0,
         lease: Mutex::new(lease::Lease::new(
             settings.replicas.len(),
--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -55,6 +55,8 @@
     raft: Raft,
     storage: Storage,
     planner: Planner,
+    /// What this replica's settings say, for a cluster that is new.
+    config: wisteriaglade_control::Config,
     outbox: HashMap<u64, tokio_mpsc::Sender<wisteriaglade_consensus::Message>>,
     board: Arc<RwLock<Board>>,
     commit: watch::Sender<Index>,
@@ -78,7 +80,7 @@
         Some(snapshot) => {
             State::decode(&snapshot.data).map_err(|error| Error::Snapshot(error.to_string()))?
         }
-        None => State::new(options.state),
+        None => State::new(wisteriaglade_control::Config::default()),
     };
     let applied = restored
         .snapshot
@@ -110,6 +112,7 @@
         raft,
         storage,
         planner: Planner::new(options.planner),
+        config: options.state,
         outbox: options.outbox,
         board: Arc::clone(&board),
         commit,
@@ -300,6 +303,11 @@
             self.lead_from = None;
             self.leading = true;
             let mut commands = Vec::new();
+            if !read(&self.board).state.is_configured() {
+                // Proposed before any node can announce a target.
+                let config = self.config;
+                commands.push(Command::Configure { config });
+            }
             self.plan(self.clock.now(), planner::Event::Lead, &mut commands);
             self.propose_planned(commands);
         }
@@ -357,7 +365,16 @@
             }
         } else {
             self.lead_from = None;
-            self.leading = false;
+            if std::mem::take(&mut self.leading) {
+                let board = read(&self.board);
+                let mut none = Vec::new();
+                self.planner.step(
+                    self.clock.now(),
+                    planner::Event::Follow,
+                    &board.state,
+                    &mut none,
+                );
+            }
         }
         let mut board = write(&self.board);
         board.term = term;
