--- /dev/null
+++ b/examples/measure/cluster.rs
@@ -0,0 +1,296 @@
+//! Every node and target of one deployment on loopback.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use serde_json::Value;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::{
+    book::Book,
+    client::{Client, Error},
+    process::{self, Addresses, Process},
+    relay::Relay,
+    target::{Config, Target},
+    workload::Workload,
+};
+
+/// The token of the operator.
+const TOKEN: &str = "measurement-operator-token";
+
+/// Control replicas: the first hosts of a workload.
+pub const REPLICAS: usize = 3;
+
+/// The longest wait for a node or a new cluster.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One host of a running cluster.
+#[derive(Debug)]
+pub struct Host {
+    pub name: &'static str,
+    pub process: Process,
+    log: PathBuf,
+    pub target: Arc<Target>,
+    /// Whether a fault has hit the node.
+    pub lost: AtomicBool,
+    _reports: AbortOnDropHandle<()>,
+}
+
+/// A running cluster.
+#[derive(Debug)]
+pub struct Cluster {
+    pub hosts: Vec<Host>,
+    pub client: Client,
+    pub book: Arc<Book>,
+}
+
+impl Cluster {
+    /// Starts every host with its files below `data`. With `relayed`, others
+    /// reach that host through the relay that is returned.
+    pub async fn start(
+        workload: &Workload,
+        policy: &str,
+        relayed: Option<usize>,
+        data: &Path,
+    ) -> Result<(Self, Option<Arc<Relay>>), Error> {
+        let binary = process::binary()?;
+        let addresses = addresses(workload.hosts.len())?;
+        let relay = match relayed {
+            Some(host) => Some(Relay::start(addresses[host].peer).await?),
+            None => None,
+        };
+        let mut cluster = Self {
+            hosts: Vec::new(),
+            client: Client::new(),
+            book: Arc::new(Book::new()),
+        };
+        for (position, host) in workload.hosts.iter().enumerate() {
+            let advertised = relay.as_ref().filter(|_| relayed == Some(position));
+            let advertised = advertised.map(|relay| relay.address);
+            let text = settings(workload, position, policy, &addresses, advertised, data);
+            let file = data.join(format!("{}.yaml", host.name));
+            std::fs::write(&file, text)?;
+            let process = Process::start(&binary, &file, addresses[position])?;
+            let config = Config {
+                host: position,
+                pool: host.pool,
+                name: workload.pools[host.pool],
+                slots: workload.slots,
+                speed: host.speed,
+            };
+            let target = Target::start(config, Arc::clone(&cluster.book)).await?;
+            let admin = addresses[position].admin;
+            let reports = Arc::clone(&target).report(admin, cluster.client.clone());
+            cluster.hosts.push(Host {
+                name: host.name,
+                process,
+                log: file.with_extension("log"),
+                target,
+                lost: AtomicBool::new(false),
+                _reports: AbortOnDropHandle::new(tokio::spawn(reports)),
+            });
+        }
+        cluster.announce().await?;
+        cluster.ready(workload.pools.len()).await?;
+        Ok((cluster, relay))
+    }
+
+    async fn announce(&self) -> Result<(), Error> {
+        let start = Instant::now();
+        for host in &self.hosts {
+            let document = host.target.announcement();
+            let admin = host.process.addresses.admin;
+            // The process may still be starting.
+            while let Err(error) = self
+                .client
+                .json(admin, "PUT", "/v1/target", TOKEN, &document)
+                .await
+            {
+                if start.elapsed() > PATIENCE {
+                    return Err(format!("{} did not start: {error}", host.name).into());
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until every node serves and every shard has an owner.
+    async fn ready(&self, pools: usize) -> Result<(), Error> {
+        let start = Instant::now();
+        for host in 0..self.hosts.len() {
+            while !self.settled(host, pools).await {
+                if start.elapsed() > PATIENCE {
+                    return Err(self.unready(host).await.into());
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// What a node that does not get ready says, and the end of its log.
+    async fn unready(&self, host: usize) -> String {
+        let status = self.get(host, "/v1/status").await;
+        let status = status.map_or_else(|error| error.to_string(), |status| status.to_string());
+        let host = &self.hosts[host];
+        let log = std::fs::read_to_string(&host.log).unwrap_or_default();
+        let tail = log.lines().rev().take(5).collect::<Vec<_>>().join("\n");
+        format!("{} did not get ready: {status}\n{tail}", host.name)
+    }
+
+    async fn settled(&self, host: usize, pools: usize) -> bool {
+        let Ok(status) = self.get(host, "/v1/status").await else {
+            return false;
+        };
+        let known = status["pools"].as_array().cloned().unwrap_or_default();
+        let owned = known
+            .iter()
+            .all(|pool| pool["ownerless"] == 0 && pool["moving"] == 0);
+        let leads = status["control_leader"].is_u64();
+        let ready = status["lease"] == true && status["current"] == true;
+        ready && leads && owned && known.len() == pools
+    }
+
+    /// A document of the admin listener of a host.
+    pub async fn get(&self, host: usize, path: &str) -> Result<Value, Error> {
+        let admin = self.hosts[host].process.addresses.admin;
+        Ok(self.client.send(admin, "GET", path, &[], "").await?.json())
+    }
+
+    /// Sends a command of an operator to a host.
+    pub async fn command(&self, host: usize, method: &str, path: &str) -> Result<(), Error> {
+        let admin = self.hosts[host].process.addresses.admin;
+        let client = &self.client;
+        let answer = client
+            .json(admin, method, path, TOKEN, &Value::Null)
+            .await?;
+        if answer.status.is_success() {
+            Ok(())
+        } else {
+            Err(format!("{method} {path}: {}", answer.status).into())
+        }
+    }
+
+    /// Applies rules on top of the ones in force; returns the version.
+    pub async fn apply(&self, id: &str, text: &str) -> Result<u64, Error> {
+        let present = self.get(0, "/v1/rules").await?;
+        let admin = self.hosts[0].process.addresses.admin;
+        let base = &present["version"];
+        let document = serde_json::json!({"id": id, "base": base, "text": text});
+        let answer = self
+            .client
+            .json(admin, "PUT", "/v1/rules", TOKEN, &document)
+            .await?;
+        let version = answer.json()["version"].as_u64();
+        version.ok_or_else(|| format!("rules refused: {}", answer.text()).into())
+    }
+
+    /// The time until a version of the rules is in force on every node.
+    pub async fn in_force(&self, version: u64) -> Result<Duration, Error> {
+        let start = Instant::now();
+        for host in 0..self.hosts.len() {
+            while !self.hosts[host].is_lost() {
+                let rules = self.get(host, "/v1/rules").await?;
+                if rules["version"].as_u64() >= Some(version) {
+                    break;
+                }
+                if start.elapsed() > PATIENCE {
+                    return Err("the rules did not get in force".into());
+                }
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        }
+        Ok(start.elapsed())
+    }
+
+    /// The host that owns the key of a path, as one node knows it.
+    pub async fn owner(&self, asked: usize, path: &str) -> Option<usize> {
+        let path = format!("/v1/explain?method=GET&path={path}");
+        let explanation = self.get(asked, &path).await.ok()?;
+        let name = explanation["owner_host"].as_str()?;
+        self.hosts.iter().position(|host| host.name == name)
+    }
+
+    /// The host whose replica leads.
+    pub async fn leader(&self) -> Result<usize, Error> {
+        let status = self.get(0, "/v1/status").await?;
+        let id = status["control_leader"]
+            .as_u64()
+            .ok_or("no control leader")?;
+        Ok(usize::try_from(id)? - 1)
+    }
+}
+
+impl Host {
+    pub fn is_lost(&self) -> bool {
+        self.lost.load(Ordering::Relaxed)
+    }
+
+    /// Says that a fault hits the node from now on.
+    pub fn lose(&self) {
+        self.lost.store(true, Ordering::Relaxed);
+    }
+}
+
+fn addresses(count: usize) -> std::io::Result<Vec<Addresses>> {
+    // All of them are bound at once, so that no port is given out twice.
+    let listeners: Vec<TcpListener> = (0..count * 3)
+        .map(|_| TcpListener::bind("127.0.0.1:0"))
+        .collect::<Result<_, _>>()?;
+    let ports: Vec<SocketAddr> = listeners
+        .iter()
+        .map(TcpListener::local_addr)
+        .collect::<Result<_, _>>()?;
+    let addresses = ports.chunks(3).map(|ports| Addresses {
+        caller: ports[0],
+        peer: ports[1],
+        admin: ports[2],
+    });
+    Ok(addresses.collect())
+}
+
+fn settings(
+    workload: &Workload,
+    position: usize,
+    policy: &str,
+    addresses: &[Addresses],
+    advertised: Option<SocketAddr>,
+    data: &Path,
+) -> String {
+    use std::fmt::Write as _;
+    let host = workload.hosts[position];
+    let own = addresses[position];
+    let mut text = format!(
+        "host: {}\ndata_centre: {}\npolicy: {policy}\nlog: warn\n\
+         cluster_key: measurement-cluster-key-on-loopback\n\
+         listen:\n  caller: {}\n  peer: {}\n  admin: {}\n",
+        host.name, host.data_centre, own.caller, own.peer, own.admin
+    );
+    if let Some(address) = advertised {
+        let _ = writeln!(text, "  advertise: {{ peer: '{address}' }}");
+    }
+    text.push_str("replicas:\n");
+    for (replica, address) in addresses.iter().enumerate().take(REPLICAS) {
+        let id = replica + 1;
+        let _ = writeln!(text, "  - {{ id: {id}, peer: '{}' }}", address.peer);
+    }
+    if position < REPLICAS {
+        let data = data.join(host.name);
+        let id = position + 1;
+        let _ = writeln!(text, "replica: {{ id: {id}, data: '{}' }}", data.display());
+    }
+    let hash = blake3::hash(TOKEN.as_bytes()).to_hex();
+    let _ = writeln!(
+        text,
+        "operators:\n  - {{ name: measure, token_hash: '{hash}' }}"
+    );
+    text
+}
--- /dev/null
+++ b/examples/measure/fault.rs
@@ -0,0 +1,249 @@
+//! Faults, and the time during which keys are not served.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use tokio::time::sleep;
+
+use crate::{
+    client::Error,
+    cluster::Cluster,
+    load::{End, Load, Plan},
+    relay::Relay,
+    workload::{Phase, Workload},
+};
+
+/// How long a paused node stands still.
+const PAUSE: Duration = Duration::from_secs(5);
+
+/// Keys of a lost owner that are probed.
+const PROBED: usize = 16;
+
+/// The pause between two probes.
+const BETWEEN: Duration = Duration::from_millis(2);
+
+/// How long keys are probed after a fault.
+const WATCH: Duration = Duration::from_secs(4);
+
+/// Keys that are looked up to find enough of one owner.
+const CANDIDATES: usize = 400;
+
+/// What goes wrong in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    HostKilled,
+    OwnerPaused,
+    LyingTarget,
+    LeaderLost,
+    DataCentreCut,
+    SilentConnections,
+    TargetDrained,
+}
+
+/// All faults with their names on the command line.
+pub const FAULTS: [(&str, Fault); 8] = [
+    ("none", Fault::None),
+    ("host-killed", Fault::HostKilled),
+    ("owner-paused", Fault::OwnerPaused),
+    ("lying-target", Fault::LyingTarget),
+    ("leader-lost", Fault::LeaderLost),
+    ("data-centre-cut", Fault::DataCentreCut),
+    ("silent-connections", Fault::SilentConnections),
+    ("target-drained", Fault::TargetDrained),
+];
+
+/// A fault with its victims and keys of theirs.
+#[derive(Debug)]
+pub struct Event {
+    pub fault: Fault,
+    pub victims: Vec<usize>,
+    keys: Vec<usize>,
+    relay: Option<Arc<Relay>>,
+    /// When it happened, on the clock of the book.
+    pub at: Option<Duration>,
+    /// The longest time without a served probe, for each key.
+    pub unavailable: Vec<Duration>,
+}
+
+impl Fault {
+    pub fn named(name: &str) -> Option<Self> {
+        let found = FAULTS.iter().find(|&&(known, _)| known == name);
+        found.map(|&(_, fault)| fault)
+    }
+
+    /// The host that others reach through a relay.
+    pub fn relayed(self, workload: &Workload) -> Option<usize> {
+        (self == Self::SilentConnections).then(|| ordinary(workload))
+    }
+
+    async fn victims(self, cluster: &Cluster, workload: &Workload) -> Result<Vec<usize>, Error> {
+        Ok(match self {
+            Self::None => Vec::new(),
+            Self::LeaderLost => vec![cluster.leader().await?],
+            Self::DataCentreCut => {
+                // A data centre with a control replica that does not lead.
+                let leader = workload.hosts[cluster.leader().await?].data_centre;
+                let cut = workload.hosts.iter().map(|host| host.data_centre);
+                let cut = cut.clone().find(|&centre| centre != leader);
+                let hosts = workload.hosts.iter().enumerate();
+                hosts
+                    .filter(|(_, host)| Some(host.data_centre) == cut)
+                    .map(|(position, _)| position)
+                    .collect()
+            }
+            _ => vec![ordinary(workload)],
+        })
+    }
+}
+
+/// The last host of the first pool, which is no control replica.
+fn ordinary(workload: &Workload) -> usize {
+    let last = workload.hosts.iter().rposition(|host| host.pool == 0);
+    last.expect("the first pool has hosts")
+}
+
+impl Event {
+    /// Finds the victims and keys that they own.
+    pub async fn prepare(
+        fault: Fault,
+        load: &Load,
+        relay: Option<Arc<Relay>>,
+    ) -> Result<Self, Error> {
+        let victims = fault.victims(&load.cluster, &load.workload).await?;
+        let mut keys = Vec::new();
+        for key in 0..CANDIDATES {
+            if victims.is_empty() || keys.len() >= PROBED {
+                break;
+            }
+            let path = probe(load, key).path();
+            let owner = load.cluster.owner(0, &path).await;
+            if owner.is_some_and(|owner| victims.contains(&owner)) {
+                keys.push(key);
+            }
+        }
+        Ok(Self {
+            fault,
+            victims,
+            keys,
+            relay,
+            at: None,
+            unavailable: Vec::new(),
+        })
+    }
+
+    /// Lets the fault happen and watches the keys of the victims.
+    pub async fn happen(&mut self, load: &Arc<Load>) -> Result<(), Error> {
+        if self.fault == Fault::None {
+            return Ok(());
+        }
+        self.at = Some(load.cluster.book.now());
+        self.inject(&load.cluster).await?;
+        let resume = async {
+            if self.fault == Fault::OwnerPaused {
+                sleep(PAUSE).await;
+                for &victim in &self.victims {
+                    load.cluster.hosts[victim].process.resume();
+                }
+            }
+        };
+        let (gaps, ()) = tokio::join!(watch(load, &self.keys), resume);
+        self.unavailable = gaps;
+        Ok(())
+    }
+
+    async fn inject(&self, cluster: &Cluster) -> Result<(), Error> {
+        for &victim in &self.victims {
+            let host = &cluster.hosts[victim];
+            match self.fault {
+                Fault::None => {}
+                Fault::HostKilled => {
+                    host.lose();
+                    host.process.kill();
+                    host.target.stop();
+                }
+                Fault::OwnerPaused => {
+                    host.lose();
+                    host.process.pause();
+                }
+                Fault::LyingTarget => host.target.lie(),
+                Fault::LeaderLost => {
+                    host.lose();
+                    host.process.kill();
+                }
+                Fault::DataCentreCut => {
+                    host.lose();
+                    host.process.pause();
+                    host.target.stop();
+                }
+                Fault::SilentConnections => {
+                    if let Some(relay) = &self.relay {
+                        relay.silence();
+                    }
+                }
+                Fault::TargetDrained => {
+                    cluster.command(victim, "POST", "/v1/target/drain").await?;
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A read of a key without work, on the first plain route of the first pool.
+pub fn probe(load: &Load, key: usize) -> Plan {
+    let mut routes = load.workload.routes.iter();
+    let plain = routes.find(|route| route.pool == 0 && !route.once && !route.learned);
+    Plan {
+        phase: Phase::Base,
+        route: *plain.expect("the first pool has plain reads"),
+        key,
+        work: 0.0,
+        operation: load.operation(),
+    }
+}
+
+/// Probes keys in turn and returns the longest time without a served probe for
+/// each one.
+async fn watch(load: &Arc<Load>, keys: &[usize]) -> Vec<Duration> {
+    let book = &load.cluster.book;
+    let start = book.now();
+    let served: Arc<Mutex<HashMap<usize, Vec<Duration>>>> = Arc::default();
+    let mut probes = tokio::task::JoinSet::new();
+    let mut ticks = tokio::time::interval(BETWEEN);
+    for &key in keys.iter().cycle() {
+        ticks.tick().await;
+        if book.now() > start + WATCH {
+            break;
+        }
+        let (load, served) = (Arc::clone(load), Arc::clone(&served));
+        probes.spawn(async move {
+            let host = load.pick();
+            if load.attempt(probe(&load, key), host).await == Some(End::Served) {
+                let now = load.cluster.book.now();
+                let mut served = served.lock().expect("not poisoned");
+                served.entry(key).or_default().push(now);
+            }
+        });
+    }
+    while probes.join_next().await.is_some() {}
+    let end = book.now();
+    let mut served = served.lock().expect("not poisoned");
+    keys.iter()
+        .map(|key| {
+            let mut times = served.remove(key).unwrap_or_default();
+            times.sort_unstable();
+            if times.last().is_none_or(|&last| last < start + WATCH) {
+                times.push(end.min(start + WATCH).max(start));
+            }
+            let before = std::iter::once(start).chain(times.iter().copied());
+            let gaps = before
+                .zip(&times)
+                .map(|(before, &at)| at.saturating_sub(before));
+            gaps.max().unwrap_or_default()
+        })
+        .collect()
+}
--- /dev/null
+++ b/examples/measure/figures.rs
@@ -0,0 +1,293 @@
+//! The figures of one run.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::atomic::Ordering,
+    time::Duration,
+};
+
+use serde::Serialize;
+
+use crate::{
+    book::{Broken, Execution},
+    fault::{Event, Fault},
+    load::{End, Load, Sample},
+    stage::{Idle, Overhead, Saturation, histogram, quantile},
+    workload::Phase,
+};
+
+/// Short work takes at most this many times the time of short work.
+const SHORT: f64 = 2.0;
+
+/// Shards of a pool. Higher numbers are dedicated shards of hot keys.
+const SHARDS: u32 = 256;
+
+/// How requests ended, and the latencies of those with short work: long work
+/// takes long by itself.
+#[derive(Debug, Clone, Serialize)]
+pub struct Service {
+    pub sent: usize,
+    pub served_share: f64,
+    pub refused_share: f64,
+    pub unknown_share: f64,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+    pub p999_ms: f64,
+}
+
+/// How one member was served while it shared a pool.
+#[derive(Debug, Clone, Serialize)]
+pub struct Member {
+    pub name: String,
+    /// Its share of all requests that were served.
+    pub share_of_served: f64,
+    pub service: Service,
+}
+
+/// Unavailable time of the keys of a lost owner.
+#[derive(Debug, Clone, Serialize)]
+pub struct Unavailable {
+    pub keys: usize,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+    pub max_ms: f64,
+}
+
+/// Everything that one run measures.
+#[derive(Debug, Clone, Serialize)]
+pub struct Figures {
+    pub policy: String,
+    pub peak: Service,
+    pub base: Service,
+    /// Mean and highest utilisation of the targets of each pool at the peak.
+    pub utilisation: Vec<Utilisation>,
+    pub shards_moved_per_minute: f64,
+    pub hot_keys_moved_per_minute: f64,
+    pub unavailable: Option<Unavailable>,
+    pub short_p99_with_stragglers_ms: f64,
+    pub short_p99_without_ms: f64,
+    pub straggler_ratio: f64,
+    pub members: Vec<Member>,
+    pub overhead: Overhead,
+    pub saturation: Option<Saturation>,
+    pub idle: Idle,
+    pub rule_change_ms: f64,
+    /// The last start of work after a drain began.
+    pub last_start_after_drain_ms: Option<f64>,
+    pub skipped: u64,
+    pub broken_promises: usize,
+    pub broken: Broken,
+}
+
+/// The load of the targets of a pool.
+#[derive(Debug, Clone, Serialize)]
+pub struct Utilisation {
+    pub pool: String,
+    pub mean: f64,
+    pub highest: f64,
+    /// The highest divided by the mean.
+    pub ratio: f64,
+}
+
+/// What the stages of a run gave.
+#[derive(Debug)]
+pub struct Stages {
+    pub overhead: Overhead,
+    pub idle: Idle,
+    pub saturation: Option<Saturation>,
+    pub rule_change: Duration,
+    pub replay_missing: usize,
+    /// When the load began, on the clock of the book, and its length.
+    pub begin: Duration,
+    pub seconds: f64,
+}
+
+impl Figures {
+    pub fn new(policy: &str, load: &Load, event: &Event, stages: Stages) -> Self {
+        let executions = load.cluster.book.executions();
+        let samples = load.samples.lock().expect("not poisoned").clone();
+        let broken = broken(load, &executions, stages.replay_missing);
+        let short = |phase| short_p99(&samples, phase);
+        let (with, without) = (short(Phase::Mixed), short(Phase::Plain));
+        let (shards, hot) = moves(&executions, event, &stages);
+        Self {
+            policy: policy.to_owned(),
+            peak: service(samples.iter().filter(|sample| sample.phase == Phase::Peak)),
+            base: service(samples.iter().filter(|sample| sample.phase == Phase::Base)),
+            utilisation: utilisation(load, &executions, &stages),
+            shards_moved_per_minute: shards,
+            hot_keys_moved_per_minute: hot,
+            unavailable: unavailable(event),
+            short_p99_with_stragglers_ms: with,
+            short_p99_without_ms: without,
+            straggler_ratio: with / without,
+            members: members(load, &samples),
+            overhead: stages.overhead,
+            saturation: stages.saturation,
+            idle: stages.idle,
+            rule_change_ms: stages.rule_change.as_secs_f64() * 1e3,
+            last_start_after_drain_ms: last_start(&executions, event),
+            skipped: load.skipped.load(Ordering::Relaxed),
+            broken_promises: broken.total(),
+            broken,
+        }
+    }
+}
+
+#[allow(clippy::cast_precision_loss, reason = "counts are small")]
+fn ratio(part: usize, whole: usize) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
+
+fn service<'a>(samples: impl Iterator<Item = &'a Sample>) -> Service {
+    let samples: Vec<&Sample> = samples.collect();
+    let share = |end| {
+        let ended = samples.iter().filter(|sample| sample.end == end);
+        ratio(ended.count(), samples.len())
+    };
+    let served = samples.iter().filter(|sample| sample.end == End::Served);
+    let short = served.filter(|sample| sample.work < SHORT);
+    let times = histogram(short.map(|sample| sample.latency));
+    Service {
+        sent: samples.len(),
+        served_share: share(End::Served),
+        refused_share: share(End::Refused),
+        unknown_share: share(End::Unknown),
+        p50_ms: quantile(&times, 0.5),
+        p99_ms: quantile(&times, 0.99),
+        p999_ms: quantile(&times, 0.999),
+    }
+}
+
+/// The 99th percentile of the latency of short work in a phase.
+fn short_p99(samples: &[Sample], phase: Phase) -> f64 {
+    let short = samples
+        .iter()
+        .filter(|sample| sample.phase == phase && sample.work < SHORT && sample.end == End::Served);
+    quantile(&histogram(short.map(|sample| sample.latency)), 0.99)
+}
+
+fn members(load: &Load, samples: &[Sample]) -> Vec<Member> {
+    let (host, guest) = (load.workload.routes[0].member, load.workload.guest.member);
+    let shared = |member: &'static str| {
+        samples.iter().filter(move |sample| {
+            sample.phase == Phase::Shared && sample.route.pool == 0 && sample.route.member == member
+        })
+    };
+    let served = |member| shared(member).filter(|s| s.end == End::Served).count();
+    let all = served(host) + served(guest);
+    [host, guest]
+        .map(|member| Member {
+            name: member.to_owned(),
+            share_of_served: ratio(served(member), all),
+            service: service(shared(member)),
+        })
+        .to_vec()
+}
+
+/// The busy time of each target's slots during the peak.
+fn utilisation(load: &Load, executions: &[Execution], stages: &Stages) -> Vec<Utilisation> {
+    let (begin, end) = Phase::Peak.span();
+    let at = |share: f64| stages.begin + Duration::from_secs_f64(share * stages.seconds);
+    let (begin, end) = (at(begin), at(end));
+    let mut busy = vec![0.0; load.workload.hosts.len()];
+    for run in executions {
+        let (from, to) = (run.begin.max(begin), run.end.unwrap_or(end).min(end));
+        busy[run.host] += to.saturating_sub(from).as_secs_f64();
+    }
+    let length = end.saturating_sub(begin).as_secs_f64();
+    let slots = f64::from(load.workload.slots) * length;
+    let pools = load.workload.pools.iter().enumerate();
+    pools
+        .map(|(pool, name)| {
+            let hosts = load.workload.hosts.iter().zip(&busy);
+            let shares: Vec<f64> = hosts
+                .filter(|(host, _)| host.pool == pool)
+                .map(|(_, busy)| busy / slots)
+                .collect();
+            #[allow(clippy::cast_precision_loss, reason = "there are a few targets")]
+            let mean = shares.iter().sum::<f64>() / shares.len() as f64;
+            let highest = shares.iter().copied().fold(0.0, f64::max);
+            Utilisation {
+                pool: (*name).to_owned(),
+                mean,
+                highest,
+                ratio: highest / mean,
+            }
+        })
+        .collect()
+}
+
+/// Shards and dedicated shards of hot keys whose target changed, a minute.
+fn moves(executions: &[Execution], event: &Event, stages: &Stages) -> (f64, f64) {
+    let mut owners: HashMap<(usize, u32), usize> = HashMap::new();
+    let (mut shards, mut hot) = (0, 0);
+    let mut runs: Vec<&Execution> = executions.iter().filter(|run| run.epoch > 0).collect();
+    runs.sort_by_key(|run| run.begin);
+    for run in runs {
+        let before = owners.insert((run.pool, run.shard), run.host);
+        // What leaves a victim of the fault is no churn.
+        let moved = before.is_some_and(|before| {
+            before != run.host
+                && (event.at.is_none_or(|at| run.begin < at) || !event.victims.contains(&before))
+        });
+        match moved {
+            true if run.shard >= SHARDS => hot += 1,
+            true => shards += 1,
+            false => {}
+        }
+    }
+    let minutes = stages.seconds / 60.0;
+    (f64::from(shards) / minutes, f64::from(hot) / minutes)
+}
+
+fn unavailable(event: &Event) -> Option<Unavailable> {
+    event.at?;
+    let times = histogram(event.unavailable.iter().copied());
+    Some(Unavailable {
+        keys: event.unavailable.len(),
+        p50_ms: quantile(&times, 0.5),
+        p99_ms: quantile(&times, 0.99),
+        max_ms: quantile(&times, 1.0),
+    })
+}
+
+fn last_start(executions: &[Execution], event: &Event) -> Option<f64> {
+    let at = event.at.filter(|_| event.fault == Fault::TargetDrained)?;
+    let starts = executions
+        .iter()
+        .filter(|run| event.victims.contains(&run.host) && run.begin > at);
+    let last = starts
+        .map(|run| run.begin.saturating_sub(at))
+        .max()
+        .unwrap_or_default();
+    Some(last.as_secs_f64() * 1e3)
+}
+
+/// Every check of the promises.
+fn broken(load: &Load, executions: &[Execution], replay_missing: usize) -> Broken {
+    let mut broken = load.broken.lock().expect("not poisoned").clone();
+    broken.overlaps(executions, load.cluster.book.now());
+    broken.repeats(executions);
+    let ran: HashSet<u64> = executions.iter().map(|run| run.attempt).collect();
+    for attempt in load.refused.lock().expect("not poisoned").iter() {
+        if ran.contains(attempt) {
+            broken.not_run_ran += 1;
+            broken.note(|| {
+                let run = executions.iter().find(|run| run.attempt == *attempt);
+                format!("not-run ran: {run:?}")
+            });
+        }
+    }
+    let completed: HashSet<u64> = executions
+        .iter()
+        .filter(|run| run.completed)
+        .map(|run| run.operation)
+        .collect();
+    let acknowledged = load.acknowledged.lock().expect("not poisoned");
+    let missing = acknowledged
+        .iter()
+        .filter(|plan| !completed.contains(&plan.operation));
+    broken.acknowledged_missing += missing.count() + replay_missing;
+    broken
+}
--- /dev/null
+++ b/examples/measure/load.rs
@@ -0,0 +1,372 @@
+//! The callers: an open arrival process with a cap on requests in flight.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use http::StatusCode;
+use rand::{RngExt as _, SeedableRng, rngs::StdRng};
+use tokio::time::{sleep, timeout};
+use tokio_util::task::TaskTracker;
+
+use crate::{
+    book::Broken,
+    client::{Answer, Error},
+    cluster::Cluster,
+    target,
+    workload::{self, Keys, Phase, Route, SHARED, Workload},
+};
+
+/// Requests in flight above which a new one is counted as skipped and not sent.
+const IN_FLIGHT: usize = 2_000;
+
+/// The share of at-most-once requests that are sent a second time.
+const RESENT: f64 = 0.1;
+
+/// How often a caller sends a request whose outcome it does not know.
+const ATTEMPTS: usize = 3;
+
+/// How long callers avoid a node that failed them.
+const AVOID: Duration = Duration::from_secs(1);
+
+/// What callers wait beyond the deadline for an answer.
+const GRACE: Duration = Duration::from_millis(300);
+
+/// The step of the arrival process.
+const STEP: Duration = Duration::from_millis(1);
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    Served,
+    /// Answered with `not-run`.
+    Refused,
+    /// Answered with `unknown`, or not at all.
+    Unknown,
+}
+
+/// One request as its caller saw it.
+#[derive(Debug, Clone, Copy)]
+pub struct Sample {
+    pub phase: Phase,
+    pub route: Route,
+    pub work: f64,
+    pub latency: Duration,
+    pub end: End,
+}
+
+/// One request that is to be sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Plan {
+    pub phase: Phase,
+    pub route: Route,
+    pub key: usize,
+    pub work: f64,
+    pub operation: u64,
+}
+
+impl Plan {
+    pub fn path(&self) -> String {
+        let [before, after] = self.route.path;
+        format!("{before}{}{after}", self.key)
+    }
+
+    fn deadline(&self) -> Duration {
+        Duration::from_secs(if self.route.once || self.route.learned {
+            4
+        } else {
+            2
+        })
+    }
+}
+
+/// The callers of one cluster.
+#[derive(Debug)]
+pub struct Load {
+    pub cluster: Arc<Cluster>,
+    pub workload: Workload,
+    pub keys: Keys,
+    pub samples: Mutex<Vec<Sample>>,
+    pub broken: Mutex<Broken>,
+    /// Attempts that were answered with `not-run`.
+    pub refused: Mutex<Vec<u64>>,
+    /// At-most-once requests that were answered with `done`.
+    pub acknowledged: Mutex<Vec<Plan>>,
+    /// Requests that were not sent because of the cap.
+    pub skipped: AtomicU64,
+    in_flight: AtomicUsize,
+    operations: AtomicU64,
+    attempts: AtomicU64,
+    /// Until when callers avoid each host, in milliseconds of the book.
+    avoided: Vec<AtomicU64>,
+    tasks: TaskTracker,
+}
+
+impl Load {
+    pub fn new(cluster: Arc<Cluster>, workload: Workload) -> Arc<Self> {
+        Arc::new(Self {
+            avoided: cluster.hosts.iter().map(|_| AtomicU64::new(0)).collect(),
+            cluster,
+            workload,
+            keys: Keys::new(),
+            samples: Mutex::default(),
+            broken: Mutex::default(),
+            refused: Mutex::default(),
+            acknowledged: Mutex::default(),
+            skipped: AtomicU64::new(0),
+            in_flight: AtomicUsize::new(0),
+            operations: AtomicU64::new(1),
+            attempts: AtomicU64::new(1),
+            tasks: TaskTracker::new(),
+        })
+    }
+
+    /// Sends the phases of a run and waits for every answer.
+    pub async fn run(self: &Arc<Self>, seconds: f64, seed: u64) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut sources = self.sources(&mut rng);
+        let start = Instant::now();
+        let mut ticks = tokio::time::interval(STEP);
+        let mut last = 0.0;
+        loop {
+            ticks.tick().await;
+            let now = start.elapsed().as_secs_f64();
+            let share = now / seconds;
+            if share >= 1.0 {
+                break;
+            }
+            let phase = Phase::at(share);
+            for source in &mut sources {
+                let rate = source.rate(&self.workload, &self.keys, phase, share, seconds);
+                source.credit -= rate * (now - last);
+                while source.credit <= 0.0 {
+                    source.credit += gap(&mut rng);
+                    let plan = self.plan(source, phase, share, &mut rng);
+                    self.send(plan, &mut rng);
+                }
+            }
+            last = now;
+        }
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
+    fn sources(&self, rng: &mut StdRng) -> Vec<Source> {
+        let own = (0..self.workload.pools.len()).map(|pool| (pool, false));
+        own.chain([(0, true)])
+            .map(|(pool, guest)| Source {
+                pool,
+                guest,
+                credit: gap(rng),
+            })
+            .collect()
+    }
+
+    fn plan(&self, source: &Source, phase: Phase, share: f64, rng: &mut StdRng) -> Plan {
+        let route = if source.guest {
+            self.workload.guest
+        } else {
+            self.workload.route(source.pool, rng)
+        };
+        let key = self.keys.draw(workload::generation(share), rng);
+        Plan {
+            phase,
+            route,
+            key,
+            work: workload::work(&route, key, phase != Phase::Plain, rng),
+            operation: self.operation(),
+        }
+    }
+
+    /// A new operation.
+    pub fn operation(&self) -> u64 {
+        self.operations.fetch_add(1, Ordering::Relaxed)
+    }
+
+    fn send(self: &Arc<Self>, plan: Plan, rng: &mut StdRng) {
+        if self.in_flight.fetch_add(1, Ordering::Relaxed) >= IN_FLIGHT {
+            self.in_flight.fetch_sub(1, Ordering::Relaxed);
+            self.skipped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        let resend = plan.route.once && rng.random_bool(RESENT);
+        let pause = SERVICE_SPREAD.mul_f64(rng.random::<f64>());
+        let load = Arc::clone(self);
+        self.tasks.spawn(async move {
+            let sent = load.cluster.book.now();
+            let again = async {
+                if resend {
+                    sleep(pause).await;
+                    load.call(plan).await;
+                }
+            };
+            let first = async {
+                let end = load.call(plan).await;
+                let latency = load.cluster.book.now().saturating_sub(sent);
+                let sample = Sample {
+                    phase: plan.phase,
+                    route: plan.route,
+                    work: plan.work,
+                    latency,
+                    end,
+                };
+                load.samples.lock().expect("not poisoned").push(sample);
+            };
+            tokio::join!(first, again);
+            load.in_flight.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+
+    /// Sends a request as a caller does: to another node when one fails it, and
+    /// again while its outcome is unknown.
+    pub async fn call(&self, plan: Plan) -> End {
+        for _ in 0..ATTEMPTS {
+            let host = self.pick();
+            match self.attempt(plan, host).await {
+                Some(End::Unknown) | None => {}
+                Some(end) => return end,
+            }
+        }
+        End::Unknown
+    }
+
+    /// One attempt of a caller at one node. `None` without an answer.
+    pub async fn attempt(&self, plan: Plan, host: usize) -> Option<End> {
+        sleep(self.workload.latency).await;
+        let end = self.exchange(plan, host).await;
+        sleep(self.workload.latency).await;
+        end
+    }
+
+    /// The same without the latency to callers.
+    pub async fn exchange(&self, plan: Plan, host: usize) -> Option<End> {
+        let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
+        match timeout(plan.deadline() + GRACE, self.transmit(plan, host, attempt)).await {
+            Ok(Ok(answer)) => Some(self.judge(plan, attempt, &answer)),
+            Ok(Err(error)) => {
+                self.avoid(host);
+                self.failed(host, &error);
+                None
+            }
+            Err(_) => {
+                self.avoid(host);
+                None
+            }
+        }
+    }
+
+    async fn transmit(&self, plan: Plan, host: usize, attempt: u64) -> Result<Answer, Error> {
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "work is positive and small"
+        )]
+        let work = ((plan.work * 1_000.0) as u64).to_string();
+        let operation = plan.operation.to_string();
+        let attempt = attempt.to_string();
+        let deadline = plan.deadline().as_millis().to_string();
+        let mut headers = vec![
+            ("measure-work", work.as_str()),
+            ("measure-operation", operation.as_str()),
+            ("measure-attempt", attempt.as_str()),
+            ("wg-deadline-ms", deadline.as_str()),
+        ];
+        if plan.route.once {
+            headers.push(("idempotency-key", operation.as_str()));
+        }
+        let address = self.cluster.hosts[host].process.addresses.caller;
+        let (method, path) = (plan.route.method, plan.path());
+        self.cluster
+            .client
+            .send(address, method, &path, &headers, "strings=4")
+            .await
+    }
+
+    fn judge(&self, plan: Plan, attempt: u64, answer: &Answer) -> End {
+        match answer.outcome() {
+            "done" if answer.status == StatusCode::OK => {
+                if answer.text() != target::answer(plan.operation, plan.key) {
+                    let mut broken = self.broken.lock().expect("not poisoned");
+                    broken.wrong_answer += 1;
+                    broken.note(|| format!("wrong answer: {plan:?} got {}", answer.text()));
+                }
+                if plan.route.once {
+                    self.acknowledged.lock().expect("not poisoned").push(plan);
+                }
+                End::Served
+            }
+            "not-run" => {
+                self.refused.lock().expect("not poisoned").push(attempt);
+                End::Refused
+            }
+            _ => End::Unknown,
+        }
+    }
+
+    /// A connection that ends early is a broken promise unless a process was
+    /// lost.
+    fn failed(&self, host: usize, error: &Error) {
+        if self.cluster.hosts.iter().any(crate::cluster::Host::is_lost) {
+            return;
+        }
+        let name = self.cluster.hosts[host].name;
+        let mut broken = self.broken.lock().expect("not poisoned");
+        broken.cut += 1;
+        broken.note(|| format!("cut at {name}: {error:?}"));
+    }
+
+    fn avoid(&self, host: usize) {
+        let until = (self.cluster.book.now() + AVOID).as_millis();
+        self.avoided[host].store(u64::try_from(until).unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+
+    /// Any node that has not failed a caller lately.
+    pub fn pick(&self) -> usize {
+        let now = self.cluster.book.now().as_millis();
+        let mut rng = rand::rng();
+        let mut host = 0;
+        for _ in 0..self.avoided.len() * 2 {
+            host = rng.random_range(0..self.avoided.len());
+            if u128::from(self.avoided[host].load(Ordering::Relaxed)) <= now {
+                break;
+            }
+        }
+        host
+    }
+}
+
+/// The longest time after which a request is sent a second time: during the
+/// first one or after its end.
+const SERVICE_SPREAD: Duration = Duration::from_millis(150);
+
+/// One stream of arrivals.
+#[derive(Debug)]
+struct Source {
+    pool: usize,
+    /// Whether it is the member that shares the first pool.
+    guest: bool,
+    /// The expected arrivals until the next one.
+    credit: f64,
+}
+
+impl Source {
+    /// Arrivals per second.
+    fn rate(&self, workload: &Workload, keys: &Keys, phase: Phase, share: f64, all: f64) -> f64 {
+        let shared = phase == Phase::Shared && self.pool == 0;
+        match (self.guest, shared) {
+            (true, false) => 0.0,
+            (true, true) => workload.rate(0, SHARED, keys) / 10.0,
+            (false, true) => workload.rate(0, SHARED, keys),
+            (false, false) => workload.rate(self.pool, phase.level(share, all), keys),
+        }
+    }
+}
+
+/// An exponential gap of mean 1, which makes arrivals a Poisson process.
+fn gap(rng: &mut StdRng) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln()
+}
--- /dev/null
+++ b/examples/measure/main.rs
@@ -0,0 +1,252 @@
+//! Runs the daemon on loopback under the load of one deployment and measures
+//! how it serves.
+//!
+//! `cargo run --release --example measure -- --workload llewellyn` starts the
+//! release binary of the node once for each host; the targets and the callers
+//! run in this process. `docs/measurements.md` describes the method.
+
+#![allow(
+    missing_docs,
+    reason = "the modules of an example are described by their own comments"
+)]
+
+mod book;
+#[path = "../support/client.rs"]
+#[allow(dead_code, reason = "this example uses a part of it")]
+mod client;
+mod cluster;
+mod fault;
+mod figures;
+mod load;
+mod process;
+mod relay;
+mod report;
+mod stage;
+mod target;
+mod workload;
+
+use std::{path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
+
+use getopts::Options;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::sleep,
+};
+
+use crate::{
+    client::Error,
+    cluster::Cluster,
+    fault::{Event, Fault},
+    figures::{Figures, Stages},
+    load::Load,
+    report::Report,
+    workload::Workload,
+};
+
+/// The command line is wrong.
+const USAGE: u8 = 2;
+
+/// The default length of the load of one run in seconds.
+const SECONDS: f64 = 12.0;
+
+/// What the command line asks for.
+#[derive(Debug)]
+struct Task {
+    workloads: Vec<&'static str>,
+    policies: Vec<&'static str>,
+    fault: Fault,
+    fault_name: String,
+    seed: u64,
+    seconds: f64,
+    json: Option<PathBuf>,
+}
+
+fn options() -> Options {
+    let faults = fault::FAULTS.map(|(name, _)| name).join(", ");
+    let mut options = Options::new();
+    options
+        .optopt(
+            "w",
+            "workload",
+            "the deployment (default: all)",
+            "llewellyn|ribeira|all",
+        )
+        .optopt("s", "seed", "the seed of the load (default: 1)", "N")
+        .optopt("t", "seconds", "the length of the load (default: 12)", "S")
+        .optopt("f", "fault", &format!("one of {faults}"), "NAME")
+        .optopt(
+            "p",
+            "policy",
+            "one policy in place of both",
+            "current|baseline",
+        )
+        .optopt("j", "json", "a file for the figures", "FILE")
+        .optflag("h", "help", "print this help and exit");
+    options
+}
+
+fn task(arguments: impl Iterator<Item = String>) -> Result<Option<Task>, String> {
+    let matches = options()
+        .parse(arguments)
+        .map_err(|error| error.to_string())?;
+    if matches.opt_present("help") {
+        return Ok(None);
+    }
+    if let Some(extra) = matches.free.first() {
+        return Err(format!("unexpected argument `{extra}`"));
+    }
+    let workloads = match matches.opt_str("workload").as_deref() {
+        None | Some("all") => vec!["llewellyn", "ribeira"],
+        Some("llewellyn") => vec!["llewellyn"],
+        Some("ribeira") => vec!["ribeira"],
+        Some(other) => return Err(format!("--workload: unknown deployment `{other}`")),
+    };
+    let policies = match matches.opt_str("policy").as_deref() {
+        None => vec!["current", "baseline"],
+        Some("current") => vec!["current"],
+        Some("baseline") => vec!["baseline"],
+        Some(other) => return Err(format!("--policy: unknown policy `{other}`")),
+    };
+    let fault_name = matches.opt_str("fault").unwrap_or("none".to_owned());
+    let fault = Fault::named(&fault_name)
+        .ok_or_else(|| format!("--fault: unknown fault `{fault_name}`"))?;
+    let seconds = parse(&matches, "seconds", SECONDS)?;
+    if !(4.0..=120.0).contains(&seconds) {
+        return Err("--seconds: expected 4 to 120".to_owned());
+    }
+    Ok(Some(Task {
+        workloads,
+        policies,
+        fault,
+        fault_name,
+        seed: parse(&matches, "seed", 1)?,
+        seconds,
+        json: matches.opt_str("json").map(PathBuf::from),
+    }))
+}
+
+fn parse<T: std::str::FromStr>(
+    matches: &getopts::Matches,
+    name: &str,
+    default: T,
+) -> Result<T, String> {
+    let Some(text) = matches.opt_str(name) else {
+        return Ok(default);
+    };
+    text.parse()
+        .map_err(|_| format!("--{name}: expected a number, got `{text}`"))
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let task = match task(std::env::args().skip(1)) {
+        Ok(Some(task)) => task,
+        Ok(None) => {
+            print!("{}", options().usage("Usage: measure [OPTIONS]"));
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("measure: {error}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    let outcome = tokio::select! {
+        outcome = measure(&task) => outcome,
+        // Dropping the run ends every process that it started.
+        () = interrupted() => Err("interrupted".into()),
+    };
+    match outcome {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("measure: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn interrupted() {
+    let kinds = [SignalKind::interrupt(), SignalKind::terminate()];
+    match kinds.map(signal) {
+        [Ok(mut interrupt), Ok(mut terminate)] => {
+            tokio::select! {
+                _ = interrupt.recv() => {}
+                _ = terminate.recv() => {}
+            }
+        }
+        _ => std::future::pending().await,
+    }
+}
+
+/// Runs everything; returns whether no promise was broken.
+async fn measure(task: &Task) -> Result<bool, Error> {
+    let mut reports = Vec::new();
+    for &name in &task.workloads {
+        let mut report = Report {
+            workload: name.to_owned(),
+            fault: task.fault_name.clone(),
+            seed: task.seed,
+            seconds: task.seconds,
+            runs: Vec::new(),
+            bounds: Vec::new(),
+        };
+        for policy in &task.policies {
+            let figures = run(task, name, policy).await?;
+            report.bounds.extend(report::bounds(&figures));
+            report.runs.push(figures);
+        }
+        report.print();
+        reports.push(report);
+    }
+    if let Some(file) = &task.json {
+        std::fs::write(file, serde_json::to_string_pretty(&reports)?)?;
+    }
+    let mut runs = reports.iter().flat_map(|report| &report.runs);
+    Ok(runs.all(|run| run.broken_promises == 0))
+}
+
+/// One run of one policy on a cluster of its own.
+async fn run(task: &Task, name: &str, policy: &str) -> Result<Figures, Error> {
+    let workload = Workload::named(name).ok_or("unknown workload")?;
+    let data = tempfile::tempdir()?;
+    let relayed = task.fault.relayed(&workload);
+    let (cluster, relay) = Cluster::start(&workload, policy, relayed, data.path()).await?;
+    let cluster = Arc::new(cluster);
+    let version = cluster.apply("first", &workload.rules).await?;
+    cluster.in_force(version).await?;
+    let load = Load::new(Arc::clone(&cluster), workload);
+    let idle = stage::idle(&cluster).await;
+    let overhead = stage::overhead(&load).await?;
+    let mut event = Event::prepare(task.fault, &load, relay).await?;
+    let begin = cluster.book.now();
+    let at = |share: f64| Duration::from_secs_f64(share * task.seconds);
+    let change = async {
+        sleep(at(workload::CHANGE)).await;
+        let changed = load.workload.rules.replace("deadline=2s", "deadline=3s");
+        let start = cluster.book.now();
+        let version = cluster.apply("second", &changed).await?;
+        cluster.in_force(version).await?;
+        Ok::<_, Error>(cluster.book.now().saturating_sub(start))
+    };
+    let fault = async {
+        sleep(at(workload::FAULT)).await;
+        event.happen(&load).await
+    };
+    let ((), rule_change, fault) = tokio::join!(load.run(task.seconds, task.seed), change, fault);
+    fault?;
+    let saturation = match task.fault {
+        Fault::None => Some(stage::saturation(&load).await?),
+        _ => None,
+    };
+    let replay_missing = stage::replay(&load).await;
+    let stages = Stages {
+        overhead,
+        idle,
+        saturation,
+        rule_change: rule_change?,
+        replay_missing,
+        begin,
+        seconds: task.seconds,
+    };
+    Ok(Figures::new(policy, &load, &event, stages))
+}
--- /dev/null
+++ b/examples/measure/process.rs
@@ -0,0 +1,115 @@
+//! One node as a process of its own.
+
+use std::{
+    fs::File,
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+/// Worker threads of each node. The hosts share the cores of one machine.
+const THREADS: &str = "2";
+
+/// Clock ticks per second in `/proc`, a constant of the Linux interface.
+const TICKS: u64 = 100;
+
+/// The addresses of a node.
+#[derive(Debug, Clone, Copy)]
+pub struct Addresses {
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+    pub admin: SocketAddr,
+}
+
+/// A running node. Dropping it ends the process.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    pub addresses: Addresses,
+}
+
+/// CPU time and memory of a process.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Usage {
+    pub cpu: Duration,
+    pub resident: u64,
+}
+
+/// The release binary beside this example.
+pub fn binary() -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let folder = own.parent().and_then(Path::parent);
+    let binary = folder.map(|folder| folder.join("wisteriaglade"));
+    binary.filter(|binary| binary.is_file()).ok_or_else(|| {
+        io::Error::other("the node's binary is missing: run `cargo build --release` first")
+    })
+}
+
+impl Process {
+    /// Starts a node with a settings file; its log goes to a file beside it.
+    pub fn start(binary: &Path, settings: &Path, addresses: Addresses) -> io::Result<Self> {
+        let log = File::create(settings.with_extension("log"))?;
+        let child = Command::new(binary)
+            .arg("--settings")
+            .arg(settings)
+            .env("TOKIO_WORKER_THREADS", THREADS)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self { child, addresses })
+    }
+
+    pub fn kill(&self) {
+        self.signal(Signal::KILL);
+    }
+
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    fn signal(&self, signal: Signal) {
+        // A process that has ended already needs no signal.
+        let _ = kill_process(Pid::from_child(&self.child), signal);
+    }
+
+    /// CPU time so far and resident memory, from `/proc`.
+    pub fn usage(&self) -> Usage {
+        let folder = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let stat = std::fs::read_to_string(folder.join("stat")).unwrap_or_default();
+        // The name in parentheses may contain spaces; the user and the system
+        // time are the 12th and the 13th field after it.
+        let fields = stat.rsplit(')').next().unwrap_or_default();
+        let ticks: u64 = fields
+            .split_whitespace()
+            .skip(11)
+            .take(2)
+            .filter_map(|field| field.parse::<u64>().ok())
+            .sum();
+        let status = std::fs::read_to_string(folder.join("status")).unwrap_or_default();
+        let resident = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))
+            .and_then(|rest| rest.split_whitespace().next()?.parse::<u64>().ok());
+        Usage {
+            cpu: Duration::from_millis(ticks * 1_000 / TICKS),
+            resident: resident.unwrap_or(0) * 1_024,
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by a fault of the run.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/examples/measure/relay.rs
@@ -0,0 +1,79 @@
+//! A TCP relay whose established connections can go silent.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+/// A relay in front of the peer address of one node.
+#[derive(Debug)]
+pub struct Relay {
+    pub address: SocketAddr,
+    /// Connections of earlier generations pass nothing on.
+    generation: AtomicU64,
+}
+
+impl Relay {
+    pub async fn start(behind: SocketAddr) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let relay = Arc::new(Self {
+            address: listener.local_addr()?,
+            generation: AtomicU64::new(0),
+        });
+        let accepting = Arc::clone(&relay);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(Arc::clone(&accepting).join(stream, behind));
+            }
+        });
+        Ok(relay)
+    }
+
+    /// Makes every established connection silent without closing it.
+    pub fn silence(&self) {
+        self.generation.fetch_add(1, Ordering::Relaxed);
+    }
+
+    async fn join(self: Arc<Self>, from: TcpStream, behind: SocketAddr) {
+        let generation = self.generation.load(Ordering::Relaxed);
+        let Ok(to) = TcpStream::connect(behind).await else {
+            return;
+        };
+        let _ = (from.set_nodelay(true), to.set_nodelay(true));
+        let (mut from_read, mut from_write) = from.into_split();
+        let (mut to_read, mut to_write) = to.into_split();
+        tokio::select! {
+            () = self.pass(generation, &mut from_read, &mut to_write) => {}
+            () = self.pass(generation, &mut to_read, &mut from_write) => {}
+        }
+    }
+
+    async fn pass(
+        &self,
+        generation: u64,
+        reader: &mut tokio::net::tcp::OwnedReadHalf,
+        writer: &mut tokio::net::tcp::OwnedWriteHalf,
+    ) {
+        let mut buffer = vec![0; 16 * 1024];
+        while let Ok(length @ 1..) = reader.read(&mut buffer).await {
+            if self.generation.load(Ordering::Relaxed) != generation {
+                // The connection stays open and silent.
+                std::future::pending::<()>().await;
+            }
+            if writer.write_all(&buffer[..length]).await.is_err() {
+                return;
+            }
+        }
+        if self.generation.load(Ordering::Relaxed) != generation {
+            std::future::pending::<()>().await;
+        }
+    }
+}
--- /dev/null
+++ b/examples/measure/target.rs
@@ -0,0 +1,308 @@
+//! A stand-in for a target with a speed of its own, cold starts, delayed load
+//! reports, and faults.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time::sleep,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    book::{Book, Execution},
+    client::Client,
+    workload::SERVICE,
+};
+
+/// What a new connection costs the target.
+const CONNECT: Duration = Duration::from_millis(1);
+
+/// How long a target is cold after its start.
+const COLD: Duration = Duration::from_millis(500);
+
+/// How many times as long work takes while the target is cold.
+const COLD_FACTOR: f64 = 3.0;
+
+/// The interval of load reports, and how old they are.
+const REPORT: Duration = Duration::from_millis(500);
+const LAG: Duration = Duration::from_secs(1);
+
+/// Connections that a target announces.
+const CONNECTIONS: u32 = 110;
+
+/// What is fixed about a target.
+#[derive(Debug, Clone)]
+pub struct Config {
+    pub host: usize,
+    pub pool: usize,
+    pub name: &'static str,
+    pub slots: u32,
+    pub speed: f64,
+}
+
+/// A running target.
+#[derive(Debug)]
+pub struct Target {
+    pub address: SocketAddr,
+    config: Config,
+    book: Arc<Book>,
+    started: Instant,
+    slots: Semaphore,
+    queued: AtomicU32,
+    running: AtomicU32,
+    /// Accepts requests and never answers them.
+    lying: AtomicBool,
+    /// The highest epoch of each shard.
+    epochs: Mutex<HashMap<u32, u64>>,
+    stop: CancellationToken,
+}
+
+impl Target {
+    /// Starts a target on a free port.
+    pub async fn start(config: Config, book: Arc<Book>) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let target = Arc::new(Self {
+            address: listener.local_addr()?,
+            slots: Semaphore::new(config.slots as usize),
+            config,
+            book,
+            started: Instant::now(),
+            queued: AtomicU32::new(0),
+            running: AtomicU32::new(0),
+            lying: AtomicBool::new(false),
+            epochs: Mutex::default(),
+            stop: CancellationToken::new(),
+        });
+        tokio::spawn(accept(Arc::clone(&target), listener));
+        Ok(target)
+    }
+
+    pub fn announcement(&self) -> serde_json::Value {
+        serde_json::json!({
+            "pool": self.config.name,
+            "address": self.address.to_string(),
+            "slots": self.config.slots,
+            "connections": CONNECTIONS,
+            "fencing": true,
+            "cold_start_ms": COLD.as_millis(),
+        })
+    }
+
+    /// Ends the target: every connection is closed and all work stops.
+    pub fn stop(&self) {
+        self.stop.cancel();
+    }
+
+    /// From now on the target reports that it is healthy and serves nothing.
+    pub fn lie(&self) {
+        self.lying.store(true, Ordering::Relaxed);
+    }
+
+    /// Sends load reports to the node beside the target, each one second old.
+    pub async fn report(self: Arc<Self>, admin: SocketAddr, client: Client) {
+        let mut past = VecDeque::new();
+        let mut ticks = tokio::time::interval(REPORT);
+        loop {
+            tokio::select! {
+                () = self.stop.cancelled() => return,
+                _ = ticks.tick() => {}
+            }
+            let lying = self.lying.load(Ordering::Relaxed);
+            let load = |count: &AtomicU32| {
+                if lying {
+                    0
+                } else {
+                    count.load(Ordering::Relaxed)
+                }
+            };
+            let now = Instant::now();
+            past.push_back((now, load(&self.running), load(&self.queued)));
+            while past.front().is_some_and(|&(at, ..)| now - at >= LAG) {
+                let (_, running, queued) = past.pop_front().expect("checked");
+                let document = serde_json::json!({
+                    "running": running, "queued": queued, "healthy": true,
+                });
+                // A report that is lost is followed by the next one.
+                let _ = client
+                    .json(admin, "POST", "/v1/target/load", "", &document)
+                    .await;
+            }
+        }
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (parts, body) = request.into_parts();
+        if self.lying.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+        let headers = &parts.headers;
+        let shard = number(headers, "wg-shard").unwrap_or(0);
+        let epoch = number(headers, "wg-epoch").unwrap_or(0);
+        let operation = number(headers, "measure-operation").unwrap_or(0);
+        let key = key(parts.uri.path());
+        if body.collect().await.is_err() {
+            return refusal("the body is incomplete");
+        }
+        let Ok(_slot) = self.slot().await else {
+            return refusal("the target ends");
+        };
+        if !self.admit(shard, epoch) {
+            return refusal("the epoch is old");
+        }
+        let position = self.book.begin(Execution {
+            host: self.config.host,
+            pool: self.config.pool,
+            key,
+            shard,
+            epoch,
+            operation,
+            attempt: number(headers, "measure-attempt").unwrap_or(0),
+            once: headers.contains_key("idempotency-key"),
+            begin: self.book.now(),
+            end: None,
+            completed: false,
+        });
+        let mut run = Run::begin(self, position);
+        let work: u64 = number(headers, "measure-work").unwrap_or(1_000);
+        sleep(self.time(work)).await;
+        run.completed = true;
+        Response::new(Full::new(answer(operation, key).into()))
+    }
+
+    async fn slot(&self) -> Result<tokio::sync::SemaphorePermit<'_>, tokio::sync::AcquireError> {
+        let _queued = Count::up(&self.queued);
+        self.slots.acquire().await
+    }
+
+    /// The time of work given in thousandths of short work.
+    fn time(&self, work: u64) -> Duration {
+        let cold = if self.started.elapsed() < COLD {
+            COLD_FACTOR
+        } else {
+            1.0
+        };
+        #[allow(clippy::cast_precision_loss, reason = "work is below 2^53")]
+        let short = work as f64 / 1_000.0;
+        SERVICE.mul_f64(short * cold / self.config.speed)
+    }
+
+    fn admit(&self, shard: u32, epoch: u64) -> bool {
+        let mut epochs = self.epochs.lock().expect("not poisoned");
+        let highest = epochs.entry(shard).or_default();
+        // A request without an epoch comes from the driver itself.
+        *highest = (*highest).max(epoch);
+        epoch == 0 || epoch >= *highest
+    }
+}
+
+/// The body of a response, which names the operation and the key.
+pub fn answer(operation: u64, key: usize) -> String {
+    format!("operation={operation} key={key} {:x<160} end\n", "")
+}
+
+/// The number of the key in a path.
+fn key(path: &str) -> usize {
+    path.split('/')
+        .nth(2)
+        .and_then(|key| key.parse().ok())
+        .unwrap_or(usize::MAX)
+}
+
+fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn refusal(detail: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(detail.as_bytes())));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let outcome = http::HeaderValue::from_static("not-run");
+    response.headers_mut().insert("wg-outcome", outcome);
+    response
+}
+
+/// Counts as long as it lives.
+struct Count<'a>(&'a AtomicU32);
+
+impl<'a> Count<'a> {
+    fn up(count: &'a AtomicU32) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Count<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// An execution in progress. Dropping it notes the end, also when the node
+/// closed the connection.
+struct Run<'a> {
+    target: &'a Target,
+    position: usize,
+    completed: bool,
+    _count: Count<'a>,
+}
+
+impl<'a> Run<'a> {
+    fn begin(target: &'a Target, position: usize) -> Self {
+        Self {
+            target,
+            position,
+            completed: false,
+            _count: Count::up(&target.running),
+        }
+    }
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        self.target.book.end(self.position, self.completed);
+    }
+}
+
+async fn accept(target: Arc<Target>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            () = target.stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        if let Ok((stream, _)) = accepted {
+            let _ = stream.set_nodelay(true);
+            tokio::spawn(converse(Arc::clone(&target), stream));
+        }
+    }
+}
+
+async fn converse(target: Arc<Target>, stream: TcpStream) {
+    sleep(CONNECT).await;
+    let stop = target.stop.clone();
+    let service = service_fn(move |request| {
+        let target = Arc::clone(&target);
+        async move { Ok::<_, Infallible>(target.serve(request).await) }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        () = stop.cancelled() => {}
+        // A node that goes away ends its connection, which is no fault of the
+        // target.
+        _ = connection => {}
+    }
+}
