--- a/wisteriaglade-control/src/planner/hot.rs
+++ b/wisteriaglade-control/src/planner/hot.rs
@@ -40,7 +40,7 @@
         roster: &Roster,
         commands: &mut Vec<Command>,
     ) {
-        let room = Pool::MOST_DEDICATED - task.pool.hot().len();
+        let room = Pool::MOST_DEDICATED.saturating_sub(task.pool.hot().len());
         let hot = plan.keys.hot(task.now, &self.config);
         let hot = hot
             .into_iter()
@@ -106,9 +106,13 @@
         if from.owner != into.owner {
             let ready = task.state.node(to);
             if ready.is_some_and(|node| node.is_ready(task.name.as_str())) {
-                plan.propose(task.now, &from, to);
-                let shard = from.shard;
-                commands.push(Command::Transfer { pool, shard, to });
+                plan.propose(task.now, &from, to, plan.keys.rate(task.now, hash));
+                commands.push(Command::Transfer {
+                    pool,
+                    shard: from.shard,
+                    epoch: from.epoch,
+                    to,
+                });
             }
             return;
         }
@@ -125,8 +129,9 @@
 /// minutes.
 fn cold_after(longest: Duration, pool: &Pool) -> Duration {
     const LEAST: Duration = Duration::from_secs(30);
-    let left = Pool::MOST_DEDICATED - pool.hot().len();
-    #[allow(clippy::cast_precision_loss, reason = "both are at most 512")]
-    let part = left as f64 / Pool::MOST_DEDICATED as f64;
-    longest.mul_f64(part).max(LEAST.min(longest))
+    let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+    let left = Pool::MOST_DEDICATED.saturating_sub(pool.hot().len());
+    // Divided first, so that no setting overflows.
+    let shortened = longest / count(Pool::MOST_DEDICATED) * count(left);
+    shortened.max(LEAST.min(longest))
 }
--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -33,7 +33,9 @@
     peer,
     pool::Pool,
     records::{self, Records},
-    replica, session,
+    replica,
+    seen::Seen,
+    session,
     settings::{self, Policy, Settings},
     subscription, target,
     view::View,
@@ -205,20 +207,28 @@
     }
 }
 
-/// Waits until this node owns no shard.
+/// Waits until this node owns no shard, or nobody is there to take them.
 async fn emptied(context: &Context) {
     let mut changes = context.applied.subscribe();
-    loop {
-        let held = context.node().and_then(|node| {
-            let view = crate::read(&context.view);
-            view.state.node(node).map(control::Process::held)
-        });
-        if held.unwrap_or(0) == 0 || changes.changed().await.is_err() {
+    while holds_movable(context) {
+        if changes.changed().await.is_err() {
             return;
         }
     }
 }
 
+fn holds_movable(context: &Context) -> bool {
+    let view = crate::read(&context.view);
+    let Some(own) = context.node().and_then(|node| view.state.node(node)) else {
+        return false;
+    };
+    let others = own.pool().is_some_and(|pool| {
+        let mut nodes = view.state.nodes();
+        nodes.any(|other| other.node() != own.node() && other.is_ready(pool))
+    });
+    own.held() > 0 && others
+}
+
 fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener> {
     let listen = || {
         let socket = if address.is_ipv4() {
@@ -315,7 +325,9 @@
         node: watch::channel(None).0,
         announced: watch::channel(None).0,
         admission: Arc::new(Admission::new(clock, admission)),
-        seen: crate::seen::Seen::default(),
+        seen: Seen::default(),
+        budget: Mutex::new(router::retry::Budget::new(router::retry::Config::default())),
+        health: Mutex::new(router::peer::Health::new(router::peer::Config::default())),
         records,
         pool: Pool::new(key.clone(), addresses.peer.ip(), timing.connect),
         client: target::Client::new(timing.connect, CONNECTIONS),
--- /dev/null
+++ b/wisteriaglade-once/tests/once/world.rs
@@ -0,0 +1,428 @@
+//! Hosts, their network and the requests of callers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use wisteriaglade_once::{
+    Cover, Key,
+    holder::{self, Holder, Message, Reply},
+    owner::{self, Effect, Event, Owner},
+};
+use wisteriaglade_types::{Epoch, Hash, Node, Request, Shard};
+
+use crate::{
+    make::{begin, key, own, part, pool},
+    oracle::{Final, Oracle, answer},
+};
+
+pub const PARTS: u32 = 2;
+const HOSTS: usize = 6;
+const TICK: u64 = 50;
+
+/// The probability of each fault, for a message or for a step of 100 ms.
+#[derive(Debug, Clone, Default)]
+pub struct Faults {
+    pub loss: f64,
+    pub repeat: f64,
+    /// Delays of up to 3 s.
+    pub late: f64,
+    pub pause: f64,
+    pub kill: f64,
+    pub reassign: f64,
+    pub replace: f64,
+    pub split: f64,
+}
+
+/// What the control log says of a shard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    pub owner: usize,
+    pub epoch: Epoch,
+    pub cover: Cover,
+    pub holders: Vec<Node>,
+}
+
+/// What happens at a point in time. The first number is the host concerned.
+#[derive(Debug, Clone)]
+pub enum Packet {
+    /// A message to a holder, with the number of the caller and the call.
+    Ask(usize, usize, u64, Message),
+    Event(usize, Event),
+    Dispatch(usize, Request),
+    /// The log up to an entry is there to be applied.
+    Log(usize, usize),
+    Tick(usize),
+    Resume(usize),
+    /// A proposal: shard, epoch, base and holders.
+    Hold(Shard, Epoch, Vec<Node>, Vec<Node>),
+    Faults,
+    Client,
+}
+
+#[derive(Debug)]
+pub struct Host {
+    pub owner: Owner,
+    pub holder: Holder,
+    pub started: u64,
+    pub alive: bool,
+    /// Packets that arrived during a pause.
+    pub paused: Option<Vec<Packet>>,
+    pub applied: usize,
+}
+
+pub struct World {
+    pub now: u64,
+    pub serial: u64,
+    pub queue: BTreeMap<(u64, u64), Packet>,
+    pub rng: StdRng,
+    pub faults: Faults,
+    pub hosts: Vec<Host>,
+    pub log: Vec<Vec<(Shard, Option<Row>)>>,
+    pub table: BTreeMap<Shard, Row>,
+    pub requests: u128,
+    /// Whether callers and faults are active.
+    pub active: bool,
+    /// Hosts whose holders cannot be reached.
+    pub cut: BTreeSet<usize>,
+    /// The running time of a request, in ms.
+    pub length: std::ops::Range<u64>,
+    pub oracle: Oracle,
+}
+
+pub fn node(host: usize) -> Node {
+    Node::new(host as u64)
+}
+
+pub fn host(node: Node) -> usize {
+    usize::try_from(node.get()).expect("a small number")
+}
+
+/// Four request keys: one of them is hot.
+pub fn hash(number: u64) -> Hash {
+    Hash::of(&format!("design-{number}"))
+}
+
+impl World {
+    pub fn new(seed: u64, faults: Faults) -> Self {
+        let mut world = Self {
+            now: 0,
+            serial: 0,
+            queue: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            faults,
+            hosts: Vec::new(),
+            log: Vec::new(),
+            table: BTreeMap::new(),
+            requests: 0,
+            active: true,
+            cut: BTreeSet::new(),
+            length: 1..200,
+            oracle: Oracle::new(seed),
+        };
+        for _ in 0..HOSTS {
+            world.spawn();
+        }
+        let rows = (0..PARTS).map(|shard| {
+            let (epoch, cover) = (Epoch::default(), part(PARTS, &[]));
+            let (owner, holders) = (shard as usize, vec![node(1), node(2), node(3)]);
+            let row = Row {
+                owner,
+                epoch,
+                cover,
+                holders,
+            };
+            (Shard::new(shard), Some(row))
+        });
+        world.commit(rows.collect(), true);
+        world.after(0, Packet::Faults);
+        world.after(0, Packet::Client);
+        world
+    }
+
+    /// A world without callers and faults, in which shard 0 is ready at host 0.
+    pub fn quiet(seed: u64) -> Self {
+        let mut world = Self::new(seed, Faults::default());
+        world.active = false;
+        world.length = 1..10;
+        world.run(100);
+        world
+    }
+
+    /// Lets some milliseconds pass.
+    pub fn run(&mut self, time: u64) {
+        let end = self.now + time;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((now, _), packet) = entry.remove_entry();
+            self.now = now;
+            self.deliver(packet);
+        }
+        self.now = end;
+    }
+
+    /// Ends all faults and lets everything that is under way arrive.
+    pub fn heal(&mut self) {
+        self.faults = Faults::default();
+        self.active = false;
+        self.run(12_000);
+    }
+
+    /// Every request whose node survived got its final effect.
+    pub fn check_all_answered(&self) {
+        let seed = self.oracle.seed;
+        for (request, asked) in &self.oracle.asked {
+            let answered = self.oracle.finals.contains_key(request);
+            let answered = answered || !self.hosts[asked.node].alive;
+            assert!(answered, "seed {seed}: no answer to {request}: {asked:?}");
+        }
+        for host in self.hosts.iter().filter(|host| host.alive) {
+            assert_eq!(host.owner.open(), 0, "seed {seed}: requests left");
+        }
+    }
+
+    /// Acknowledged answers are there, and what may have run does not run again.
+    pub fn check_resends(&mut self) {
+        let seed = self.oracle.seed;
+        let keys = self.oracle.keys();
+        let oracle = &self.oracle;
+        let state = |key| (oracle.has_run(key), oracle.is_acknowledged(key));
+        let before: Vec<_> = keys.iter().map(state).collect();
+        let outcomes = self.resend(keys.iter().cloned().collect());
+        for (((ran, acknowledged), key), outcome) in before.into_iter().zip(keys).zip(outcomes) {
+            let right = match &outcome {
+                Final::Replay(_) => ran,
+                Final::Unknown => !acknowledged,
+                Final::Acknowledge(_) => !ran,
+                Final::Refuse(_) => false,
+            };
+            assert!(right, "seed {seed}: {key} got {outcome:?}");
+        }
+    }
+
+    /// Sends a request for each key to its owner in the log and waits for the answers.
+    pub fn resend(&mut self, keys: Vec<Key>) -> Vec<Final> {
+        let send = |key| self.begin(key, false, None, 4000);
+        let requests: Vec<_> = keys.into_iter().map(send).collect();
+        self.run(5000);
+        let outcome = |request| self.oracle.finals.get(request).cloned();
+        let outcomes = requests.iter().map(outcome);
+        outcomes
+            .collect::<Option<_>>()
+            .expect("an answer to every resend")
+    }
+
+    pub fn spawn(&mut self) -> usize {
+        let index = self.hosts.len();
+        self.hosts.push(Host {
+            owner: Owner::new(owner::Config::default()),
+            holder: Holder::new(holder::Config::default()),
+            started: self.now,
+            alive: true,
+            paused: None,
+            applied: self.log.len(),
+        });
+        self.after(TICK, Packet::Tick(index));
+        index
+    }
+
+    pub fn after(&mut self, delay: u64, packet: Packet) {
+        self.serial += 1;
+        self.queue.insert((self.now + delay, self.serial), packet);
+    }
+
+    /// Sends a packet over the network.
+    fn send(&mut self, packet: Packet) {
+        if self.rng.random_bool(self.faults.loss) {
+            return;
+        }
+        if self.rng.random_bool(self.faults.repeat) {
+            let delay = self.delay();
+            self.after(delay, packet.clone());
+        }
+        let delay = self.delay();
+        self.after(delay, packet);
+    }
+
+    pub fn delay(&mut self) -> u64 {
+        let late = self.rng.random_bool(self.faults.late);
+        self.rng.random_range(1..if late { 3000 } else { 12 })
+    }
+
+    fn deliver(&mut self, packet: Packet) {
+        if let Packet::Ask(to, ..)
+        | Packet::Event(to, _)
+        | Packet::Dispatch(to, _)
+        | Packet::Log(to, _)
+        | Packet::Tick(to) = &packet
+        {
+            let host = &mut self.hosts[*to];
+            if let Some(waiting) = &mut host.paused {
+                return waiting.push(packet);
+            }
+            let cut = self.cut.contains(to) && matches!(packet, Packet::Ask(..));
+            if !host.alive || cut {
+                if let Packet::Ask(to, from, ..) = packet {
+                    let event = Event::Lost { node: node(to) };
+                    self.after(5, Packet::Event(from, event));
+                }
+                return;
+            }
+        }
+        match packet {
+            Packet::Ask(to, caller, call, message) => {
+                let reply = self.ask(to, message);
+                let from = node(to);
+                self.send(Packet::Event(caller, Event::Reply { from, call, reply }));
+            }
+            Packet::Event(to, event) => self.step(to, event),
+            Packet::Dispatch(to, request) => self.dispatch(to, request),
+            Packet::Log(to, index) => self.apply(to, index),
+            Packet::Tick(to) => {
+                self.after(TICK, Packet::Tick(to));
+                self.step(to, Event::Tick);
+            }
+            Packet::Resume(to) => {
+                for packet in self.hosts[to].paused.take().unwrap_or_default() {
+                    self.deliver(packet);
+                }
+            }
+            Packet::Hold(shard, epoch, base, holders) => self.hold(shard, epoch, &base, holders),
+            Packet::Faults => self.fault(),
+            Packet::Client => self.client(),
+        }
+    }
+
+    fn ask(&mut self, to: usize, message: Message) -> Reply {
+        let host = &mut self.hosts[to];
+        let now = Duration::from_millis(self.now - host.started);
+        host.holder.handle(now, message)
+    }
+
+    fn step(&mut self, to: usize, event: Event) {
+        let host = &mut self.hosts[to];
+        let now = Duration::from_millis(self.now - host.started);
+        let mut effects = Vec::new();
+        host.owner.step(now, event, &mut effects);
+        for effect in effects {
+            self.execute(to, effect);
+        }
+    }
+
+    fn execute(&mut self, from: usize, effect: Effect) {
+        match effect {
+            Effect::Call { to, call, message } => {
+                let to = host(to);
+                self.send(Packet::Ask(to, from, call, message));
+            }
+            // A pause can come between the decision and the dispatch.
+            Effect::Run { request } => self.after(1, Packet::Dispatch(from, request)),
+            Effect::Replay { request, answer } => self.end(from, request, Final::Replay(answer)),
+            Effect::Refuse { request, reason } => self.end(from, request, Final::Refuse(reason)),
+            Effect::Unknown { request } => self.end(from, request, Final::Unknown),
+            Effect::Acknowledge { request, answer } => {
+                self.end(from, request, Final::Acknowledge(answer));
+            }
+            Effect::Hold {
+                shard,
+                epoch,
+                base,
+                holders,
+                ..
+            } => {
+                self.send(Packet::Hold(shard, epoch, base, holders));
+            }
+        }
+    }
+
+    fn end(&mut self, from: usize, request: Request, outcome: Final) {
+        let shard = self.shard(self.oracle.asked[&request].key.hash);
+        let former = self.table[&shard].owner != from;
+        self.oracle.end(request, outcome, former);
+    }
+
+    /// The shard of a key in the log.
+    fn shard(&self, hash: Hash) -> Shard {
+        let dedicated = |(_, row): &(&Shard, &Row)| row.cover == Cover::Single(hash);
+        let shard = self.table.iter().find(dedicated);
+        shard.map_or_else(|| hash.shard(PARTS), |(shard, _)| *shard)
+    }
+
+    /// The target sheds a request, runs it, or runs it and loses the response.
+    fn dispatch(&mut self, to: usize, request: Request) {
+        let sides = if self.active { 0..20 } else { 2..3 };
+        let dice = self.rng.random_range(sides);
+        self.oracle.run(request, dice == 0);
+        let answer = (dice > 1).then(|| answer(request));
+        let event = match dice {
+            0 => Event::Abort { request },
+            _ => Event::Finish { request, answer },
+        };
+        let length = self.rng.random_range(self.length.clone());
+        self.after(length, Packet::Event(to, event));
+    }
+
+    /// Lets a host apply the log up to an entry.
+    fn apply(&mut self, to: usize, index: usize) {
+        while self.hosts[to].applied <= index {
+            let at = self.hosts[to].applied;
+            self.hosts[to].applied += 1;
+            for (shard, row) in self.log[at].clone() {
+                let event = match row {
+                    Some(row) if row.owner == to => own(shard, row.epoch, row.cover, row.holders),
+                    _ => Event::Disown {
+                        pool: pool(),
+                        shard,
+                    },
+                };
+                self.step(to, event);
+            }
+        }
+    }
+
+    /// Sends a request for a new or an earlier key, sometimes to a wrong node.
+    fn client(&mut self) {
+        let pause = self.rng.random_range(5..60);
+        if !self.active {
+            return;
+        }
+        self.after(pause, Packet::Client);
+        let hash = hash(self.rng.random_range(0..4));
+        let fresh = self.oracle.asked.len() as u64 / 4;
+        let id = self.rng.random_range(fresh.saturating_sub(8)..=fresh);
+        let key = key(hash, id);
+        let foreign = self.oracle.has_run(&key) && self.rng.random_bool(0.05);
+        let wrong = self.rng.random_bool(0.1);
+        let wrong = wrong.then(|| self.pick_host(&BTreeSet::new()));
+        let deadline = self.rng.random_range(20..1500);
+        self.begin(key, foreign, wrong, deadline);
+    }
+
+    pub fn begin(&mut self, key: Key, foreign: bool, to: Option<usize>, deadline: u64) -> Request {
+        let shard = self.shard(key.hash);
+        let to = to.unwrap_or(self.table[&shard].owner);
+        self.requests += 1;
+        let request = Request::new(self.requests);
+        self.oracle.ask(request, key.clone(), to, foreign);
+        let deadline = Duration::from_millis(self.now - self.hosts[to].started + deadline);
+        let event = begin(shard, key, u64::from(foreign), request, deadline);
+        self.after(2, Packet::Event(to, event));
+        request
+    }
+
+    pub fn pick_shard(&mut self) -> Shard {
+        let index = self.rng.random_range(0..self.table.len());
+        let shard = self.table.keys().nth(index);
+        *shard.expect("an index below the length")
+    }
+
+    pub fn pick_host(&mut self, except: &BTreeSet<usize>) -> usize {
+        let free = |index: &usize| self.hosts[*index].alive && !except.contains(index);
+        let free: Vec<_> = (0..self.hosts.len()).filter(free).collect();
+        free[self.rng.random_range(0..free.len())]
+    }
+}
--- a/wisteriaglade-router/src/router.rs
+++ b/wisteriaglade-router/src/router.rs
@@ -1,22 +1,25 @@
 //! The reducer.
 
+mod admission;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use wisteriaglade_types::{Name, Request};
 
 use crate::{
-    Arrival, Capacity, Class, Config, Effect, Event, Finish, Policy, Reason, Summary, Usage,
-    job::Job, ledger::Ledger, lengths::Lengths, limit::Limit, queue::Queue, running::Running,
-    standing::Standing, waiting::Waiting,
+    Capacity, Class, Config, Effect, Event, Finish, Policy, Reason, Report, Summary, Usage,
+    job::Job, ledger::Ledger, lengths::Lengths, queue::Queue, running::Running, standing::Standing,
+    target::Target, waiting::Waiting,
 };
 
 /// The retry-after time of refusals whose cause ends within moments: a move of
 /// the shard takes less than a second.
 const SOON: Duration = Duration::from_millis(250);
 
-/// The range of estimated retry-after times. Below, retries would only add
-/// load; above, the estimate says nothing.
-const RETRY_AFTER: [Duration; 2] = [Duration::from_millis(10), Duration::from_secs(10)];
+/// For this many short service times after short work had to wait, no further
+/// slots are lent to long work. With none, and short work that always takes the
+/// same time, its 99th percentile came to 2.05 times the undisturbed one.
+const HOLD: u32 = 3;
 
 /// Admission, fairness and limits for the target beside one node.
 ///
@@ -27,13 +30,14 @@
 pub struct Router {
     config: Config,
     now: Duration,
-    capacity: Option<Capacity>,
-    limit: Option<Limit>,
+    target: Option<Target>,
     queue: Queue,
     running: Running,
     lengths: Lengths,
     ledger: Ledger,
     standing: Standing,
+    /// When short work last had to wait for a slot.
+    queued: Option<Duration>,
     draining: Option<Duration>,
 }
 
@@ -45,13 +49,13 @@
         let fair = config.policy == Policy::Adaptive;
         Self {
             now: Duration::ZERO,
-            capacity: None,
-            limit: None,
+            target: None,
             queue: Queue::new(fair, config.callers),
             running: Running::default(),
             lengths: Lengths::new(),
             ledger: Ledger::new(config.members),
             standing: Standing::default(),
+            queued: None,
             draining: None,
             config,
         }
@@ -67,32 +71,41 @@
         self.now = now;
         match event {
             Event::Arrive(arrival) => self.arrive(now, arrival, effects),
-            Event::Finish { request, result } => self.finish(now, request, result),
+            Event::Finish { request, result } => self.finish(now, request, result, effects),
             Event::Depart { request } => self.depart(request, effects),
-            Event::Report(_) | Event::Tick => {}
+            Event::Report(report) => self.report(now, report),
+            Event::Tick => {}
             Event::Target(capacity) => self.announce(now, capacity, effects),
             Event::Drain => self.draining = self.draining.or(Some(now)),
         }
         self.expire(now, effects);
         if self.adaptive() {
-            if let Some(limit) = self.lengths.threshold() {
-                self.running.reclassify(now, limit);
-            }
-            self.standing.update(now, self.queue.oldest());
+            self.reclassify(now);
+            self.standing.update(now, self.queue.oldest_short());
+            self.watch(now, effects);
         }
         self.dispatch(now, effects);
+        if self.queue.waiting(Class::Short) > 0 {
+            self.queued = Some(now);
+        }
+        self.warm(now, effects);
     }
 
     /// When the next [`Event::Tick`] is due, if no other event comes first.
     #[must_use]
     pub fn wake(&self) -> Option<Duration> {
+        let queued = self.queue.len() > 0;
+        let target = self.target.as_ref();
         let times = [
             self.queue.next_expiry(),
             self.running.next_deadline(),
             self.next_reclassify(),
             self.draining
-                .filter(|_| self.queue.len() > 0)
+                .filter(|_| queued)
                 .map(|at| at + self.config.grace),
+            target.and_then(|t| t.next(self.now, &self.running, &self.lengths, queued)),
+            self.lending()
+                .filter(|at| *at > self.now && self.queue.waiting(Class::Long) > 0),
         ];
         times.into_iter().flatten().min()
     }
@@ -109,7 +122,7 @@
             limit_long: self.long_limit(self.now),
             service: self.lengths.service(),
             standing: self.standing.get(self.now),
-            suspect: false,
+            suspect: self.target.as_ref().is_some_and(Target::suspect),
         }
     }
 
@@ -120,118 +133,13 @@
         self.ledger.all()
     }
 
-    fn arrive(&mut self, now: Duration, arrival: Arrival, effects: &mut Vec<Effect>) {
-        if self.queue.contains(arrival.request) || self.running.contains(arrival.request) {
-            return;
-        }
-        self.ledger.of(&arrival.member).arrivals += 1;
-        let class = match self.config.policy {
-            Policy::Adaptive => self.lengths.class(&arrival),
-            Policy::Baseline => Class::Short,
-        };
-        let expected = match self.config.policy {
-            Policy::Adaptive => self.lengths.expected(class),
-            Policy::Baseline => Duration::ZERO,
-        };
-        let waiting = Waiting {
-            class,
-            arrived: now,
-            expected,
-            arrival,
-        };
-        if self.capacity.is_none() {
-            return self.refuse(&waiting, Reason::Absent, Some(SOON), effects);
-        }
-        if self.left(now) {
-            return self.refuse(&waiting, Reason::Draining, Some(SOON), effects);
-        }
-        let admitted = if self.adaptive() {
-            self.fit(now, &waiting, effects) && self.make_room(now, &waiting, effects)
-        } else if self.queue.len() >= self.config.queue {
-            self.refuse(&waiting, Reason::Full, Some(SOON), effects);
-            false
-        } else {
-            true
-        };
-        if admitted {
-            self.queue.push(waiting);
-        }
-    }
-
-    /// Refuses a request whose expected wait does not fit its deadline. In a
-    /// standing queue only half of the time may be spent waiting, and the
-    /// oldest request of the same caller gives way to the new one.
-    fn fit(&mut self, now: Duration, waiting: &Waiting, effects: &mut Vec<Effect>) -> bool {
-        let wait = self.expected_wait(now, waiting);
-        let left = waiting.latest().saturating_sub(now);
-        let fresh = self.freshest(now);
-        let most = if fresh { left / 2 } else { left };
-        if wait <= most && !left.is_zero() {
-            return true;
-        }
-        let retry_after = Some(
-            wait.saturating_sub(most)
-                .clamp(RETRY_AFTER[0], RETRY_AFTER[1]),
-        );
-        let arrival = &waiting.arrival;
-        if fresh
-            && !left.is_zero()
-            && waiting.class == Class::Short
-            && let Some(old) = self.queue.evict_oldest(&arrival.member, &arrival.caller)
-        {
-            self.refuse(&old, Reason::Overload, retry_after, effects);
-            return true;
-        }
-        self.refuse(waiting, Reason::Deadline, retry_after, effects);
-        false
-    }
-
-    /// Refuses a request of the member that is the furthest over its share
-    /// when the queue is full.
-    fn make_room(&mut self, now: Duration, waiting: &Waiting, effects: &mut Vec<Effect>) -> bool {
-        let member = &waiting.arrival.member;
-        let victim = if self.queue.member_len(member) >= self.config.member_queue {
-            member.clone()
-        } else if self.queue.len() >= self.config.queue {
-            self.queue.furthest(member, waiting.arrival.weight)
-        } else {
-            return true;
-        };
-        let wait = self.expected_wait(now, waiting);
-        let retry_after = Some(wait.clamp(RETRY_AFTER[0], RETRY_AFTER[1]));
-        let fresh = self.freshest(now);
-        if (victim != *member || fresh)
-            && let Some(evicted) = self.queue.evict(&victim, fresh)
-        {
-            self.refuse(&evicted, Reason::Full, retry_after, effects);
-            return true;
-        }
-        self.refuse(waiting, Reason::Full, retry_after, effects);
-        false
-    }
-
-    /// The expected wait of a new request, from the work ahead of it and the
-    /// slots that its class can use.
-    fn expected_wait(&self, now: Duration, waiting: &Waiting) -> Duration {
-        let class = waiting.class;
-        let limit = self.limit(now);
-        let slots = match class {
-            Class::Short => limit.saturating_sub(self.running.count(Class::Long)),
-            Class::Long => self.long_limit(now),
-        };
-        let free = self.running.total() < limit && self.running.count(class) < slots;
-        if free && self.queue.waiting(class) == 0 {
-            return Duration::ZERO;
-        }
-        let arrival = &waiting.arrival;
-        let ahead = self
-            .queue
-            .ahead(&arrival.member, &arrival.caller, arrival.weight, class);
-        let ahead = u32::try_from(ahead + 1).unwrap_or(u32::MAX);
-        waiting.expected.saturating_mul(ahead) / slots.max(1)
-    }
-
-    fn finish(&mut self, now: Duration, request: Request, result: Finish) {
+    fn finish(
+        &mut self,
+        now: Duration,
+        request: Request,
+        result: Finish,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(job) = self.running.remove(request) else {
             return;
         };
@@ -250,6 +158,16 @@
             Finish::Shed { .. } | Finish::Failed => {}
         }
         self.queue.charge(&job.waiting, job.charged, busy);
+        let binding = self.queue.waiting(Class::Short) > 0;
+        let (lengths, running) = (&self.lengths, &self.running);
+        // Work of an earlier target says nothing about this one.
+        let target = self.target.as_mut();
+        let target = target.filter(|t| t.announced() <= job.started);
+        let recovered =
+            target.is_some_and(|t| t.ended(now, &job, result, lengths, running, binding));
+        if recovered {
+            effects.push(Effect::Recovered);
+        }
     }
 
     fn depart(&mut self, request: Request, effects: &mut Vec<Effect>) {
@@ -264,13 +182,60 @@
         }
     }
 
+    fn report(&mut self, now: Duration, report: Report) {
+        let running = self.running.total();
+        if let Some(target) = self.target.as_mut().filter(|t| t.adaptive()) {
+            target.report(now, report, running);
+        }
+    }
+
     fn announce(&mut self, now: Duration, capacity: Option<Capacity>, effects: &mut Vec<Effect>) {
-        if capacity.is_none() {
+        let Some(capacity) = capacity else {
             self.draining = None;
-            self.refuse_all(Reason::Absent, Some(SOON), effects);
+            self.target = None;
+            return self.refuse_all(Reason::Absent, Some(SOON), effects);
+        };
+        if let Some(target) = &self.target {
+            if target.suspect() {
+                effects.push(Effect::Recovered);
+            } else if *target.capacity() == capacity {
+                // A repeated announcement must not discard what was learned.
+                return;
+            }
+        }
+        self.target = Some(Target::new(now, capacity, &self.config));
+    }
+
+    /// Takes a target that does not respond out of service.
+    fn watch(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let target = self.target.as_mut();
+        if target.is_some_and(|t| t.check(now, &self.running, &self.lengths)) {
+            effects.push(Effect::Suspect);
+            self.refuse_all(Reason::Unresponsive, Some(SOON), effects);
+        }
+    }
+
+    fn warm(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let demand = self.running.total() as usize + self.queue.len();
+        let target = self.target.as_mut();
+        if let Some(connections) = target.and_then(|t| t.warm(now, demand)) {
+            effects.push(Effect::Warm { connections });
+        }
+    }
+
+    /// Counts short work that runs for too long as long work.
+    fn reclassify(&mut self, now: Duration) {
+        let Some(limit) = self.lengths.threshold() else {
+            return;
+        };
+        let long = self.lengths.expected(Class::Long);
+        for request in self.running.reclassify(now, limit) {
+            if let Some(job) = self.running.get_mut(request) {
+                self.lengths.observe_late(&job.waiting.arrival, limit);
+                self.queue.charge(&job.waiting, job.charged, long);
+                job.charged = long;
+            }
         }
-        self.capacity = capacity;
-        self.limit = capacity.map(|capacity| Limit::new(&capacity, now));
     }
 
     /// Refuses waiting work and cancels running work that is out of time.
@@ -295,7 +260,8 @@
             let Some(waiting) = self.queue.pop(allowed, cost, fresh) else {
                 return;
             };
-            if self.adaptive() && waiting.arrival.deadline < now + cost[waiting.class.index()] {
+            let late = waiting.arrival.deadline < now + cost[waiting.class.index()];
+            if late && !waiting.expected.is_zero() {
                 // The expected service time has grown since the arrival.
                 self.refuse(&waiting, Reason::Expired, Some(SOON), effects);
                 continue;
@@ -318,9 +284,14 @@
             class,
             started: now,
             charged: cost[class.index()],
+            concurrency: self.running.total() + 1,
             cancelled: false,
             waiting,
         });
+        let running = self.running.total();
+        if let Some(target) = &mut self.target {
+            target.dispatched(now, running);
+        }
         effects.push(Effect::Dispatch { request, class });
     }
 
@@ -357,20 +328,23 @@
     }
 
     fn limit(&self, now: Duration) -> u32 {
-        self.limit.as_ref().map_or(0, |limit| limit.get(now))
+        let long = self.running.count(Class::Long);
+        let target = self.target.as_ref();
+        target.map_or(0, |target| target.limit(now, long))
     }
 
-    /// The most long requests that run at once. Short work keeps half of the
-    /// slots, and half of the rest as well while it queues; one long request
-    /// can always run.
     fn long_limit(&self, now: Duration) -> u32 {
-        let limit = self.limit(now);
-        let Some(capacity) = self.capacity.filter(|_| self.adaptive()) else {
-            return limit;
-        };
-        let most = limit.min(capacity.slots()) / 2;
-        let queued = self.queue.waiting(Class::Short) > 0;
-        (if queued { most / 2 } else { most }).max(1)
+        let held = self.lending().is_some_and(|at| now < at);
+        let queued = held || self.queue.waiting(Class::Short) > 0;
+        let long = self.running.count(Class::Long);
+        let target = self.target.as_ref();
+        target.map_or(0, |target| target.long_limit(now, long, queued))
+    }
+
+    /// When slots are lent to long work again.
+    fn lending(&self) -> Option<Duration> {
+        let hold = self.lengths.expected(Class::Short) * HOLD;
+        self.queued.map(|at| at + hold)
     }
 
     fn long_allowed(&self, now: Duration) -> bool {
