--- a/wisteriaglade-router/src/knee.rs
+++ b/wisteriaglade-router/src/knee.rs
@@ -138,3 +138,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/wisteriaglade-router/src/knee/tests.rs
@@ -0,0 +1,30 @@
+use rstest::rstest;
+
+use super::Knee;
+
+/// Guards against a limit that leaves a right announcement, that stays beside
+/// it without evidence, or that does not leave a wrong one. The levels are
+/// given with their service times in milliseconds.
+#[rstest]
+#[case::flat(&[(3, 10), (6, 10)], 6, 6, None)]
+#[case::back_to_the_announcement(&[(3, 10), (5, 10)], 5, 6, Some(6))]
+#[case::too_many_announced(&[(6, 10), (12, 20)], 12, 12, Some(6))]
+#[case::too_few_announced(&[(6, 10), (12, 10)], 6, 6, Some(12))]
+#[case::settled_away_from_it(&[(3, 10), (6, 10), (12, 20)], 6, 12, None)]
+fn the_knee_follows_the_evidence(
+    #[case] levels: &[(u32, u32)],
+    #[case] present: u32,
+    #[case] announced: u32,
+    #[case] better: Option<u32>,
+) {
+    let mut knee = Knee::new(24);
+    for (concurrency, time) in levels {
+        for i in 0..200 {
+            // Spread evenly around the mean, with a relative variance of 1/3.
+            let spread = f64::from(i) / 100.0;
+            knee.observe(*concurrency, f64::from(*time) / 1000.0 * spread);
+        }
+    }
+
+    assert_eq!(knee.better(present, announced), better);
+}
