Accept times of zero in the settings of retry budgets

A half-life or a refill time of zero divided zero by zero, and the store of the constant was then always full: 100 of 100 retries were granted where 5 are due. times_of_zero_are_accepted fails without the change.

--- a/wisteriaglade-router/src/retry/bucket.rs
+++ b/wisteriaglade-router/src/retry/bucket.rs
@@ -43,8 +43,10 @@
     fn advance(&mut self, config: &Config, now: Duration) {
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         self.at = self.at.max(now);
-        self.earned *= (-elapsed / config.half_life.as_secs_f64()).exp2();
-        let refilled = self.constant + elapsed / config.refill.as_secs_f64();
+        let [half_life, refill] = [config.half_life, config.refill]
+            .map(|time| time.max(Duration::from_nanos(1)).as_secs_f64());
+        self.earned *= (-elapsed / half_life).exp2();
+        let refilled = self.constant + elapsed / refill;
         self.constant = refilled.min(f64::from(config.constant));
     }
 }
--- a/wisteriaglade-router/src/retry/config.rs
+++ b/wisteriaglade-router/src/retry/config.rs
@@ -11,9 +11,10 @@
     /// little traffic can retry at all. Default: 3.
     pub constant: u32,
     /// The time in which one retry of the constant becomes available again.
-    /// Default: 1 s.
+    /// Default: 1 s; zero counts as 1 ns.
     pub refill: Duration,
-    /// The time after which a request counts half. Default: 10 s.
+    /// The time after which a request counts half. Default: 10 s; zero counts
+    /// as 1 ns.
     pub half_life: Duration,
     /// Members with their own budget. Further members share one. Default: 256.
     pub members: usize,
--- a/wisteriaglade-router/tests/budgets.rs
+++ b/wisteriaglade-router/tests/budgets.rs
@@ -46,6 +46,24 @@
     assert_eq!(later, 1 + 3, "100 tokens fade to 1.6 in six half-lives");
 }
 
+/// Guards against a division by zero that makes the budget unlimited.
+#[test]
+fn times_of_zero_are_accepted() {
+    let mut budget = Budget::new(retry::Config {
+        refill: Duration::ZERO,
+        half_life: Duration::ZERO,
+        ..retry::Config::default()
+    });
+    let member = Name::from("a");
+
+    for _ in 0..20 {
+        budget.request(MS, &member);
+    }
+
+    let retries = (0..100).filter(|_| budget.retry(MS, &member)).count();
+    assert_eq!(retries, 2 + 3);
+}
+
 /// Guards against the reuse of pooled connections after one went silent, and
 /// against a node that is avoided for ever.
 #[test]
