--- a/wisteriaglade-once/src/holder/store.rs
+++ b/wisteriaglade-once/src/holder/store.rs
@@ -132,7 +132,7 @@
                 continue;
             }
             size += stored.record.encoded();
-            if size > PAGE {
+            if size > PAGE && !records.is_empty() {
                 return (records, last);
             }
             records.push(self.aged(now, stored));
--- a/wisteriaglade-once/src/key.rs
+++ b/wisteriaglade-once/src/key.rs
@@ -12,7 +12,9 @@
     pub pool: Name,
     /// The hash of the request's key, which decides the shard.
     pub hash: Hash,
-    /// The idempotency key that the caller chose.
+    /// The idempotency key that the caller chose. The user of the package limits its
+    /// length, to 256 B for example: it counts towards the memory of holders, and a
+    /// record has to fit into a [page](crate::holder::PAGE).
     pub id: Arc<str>,
 }
 
--- a/wisteriaglade-once/src/owner/grant.rs
+++ b/wisteriaglade-once/src/owner/grant.rs
@@ -440,7 +440,7 @@
             continue;
         }
         size += entry.record.encoded();
-        if size > PAGE || (link.single && !records.is_empty()) {
+        if !records.is_empty() && (size > PAGE || link.single) {
             link.todo.insert(key);
             break;
         }
