--- a/wisteriaglade-node/src/hot.rs
+++ b/wisteriaglade-node/src/hot.rs
@@ -64,3 +64,6 @@
         self.floor = self.floor.max(median);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/wisteriaglade-node/src/hot/tests.rs
@@ -0,0 +1,42 @@
+//! Which keys are reported as hot.
+
+use std::time::Duration;
+
+use wisteriaglade_types::Hash;
+
+use super::{COUNTED, Hot};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Guards against a hot key that is lost in a stream of cold ones, and against
+/// memory that grows with the number of keys.
+#[test]
+fn a_hot_key_is_found_among_many_cold_ones() {
+    let mut hot = Hot::default();
+    for number in 0..200_000_u64 {
+        hot.add(Hash::new(number + 10));
+        if number % 20 == 0 {
+            hot.add(Hash::new(1));
+        }
+    }
+
+    assert!(hot.counts.len() <= COUNTED);
+    let report = hot.take(SECOND);
+
+    assert_eq!(report.first().map(|&(key, _)| key), Some(1));
+    assert!(report.len() <= 16);
+}
+
+/// Guards against reports that quiet nodes send for nothing, and against counts
+/// that are carried into the next interval.
+#[test]
+fn quiet_keys_are_not_reported_and_counts_start_again() {
+    let mut hot = Hot::default();
+    for _ in 0..100 {
+        hot.add(Hash::new(1));
+    }
+    hot.add(Hash::new(2));
+
+    assert_eq!(hot.take(SECOND), [(1, 100)]);
+    assert_eq!(hot.take(SECOND), []);
+}
--- a/wisteriaglade-node/src/lease.rs
+++ b/wisteriaglade-node/src/lease.rs
@@ -121,3 +121,6 @@
             .is_some_and(|current| now < current + self.staleness)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/wisteriaglade-node/src/lease/tests.rs
@@ -0,0 +1,113 @@
+//! When a lease is held, and when the state counts as recent.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use wisteriaglade_types::Index;
+
+use super::Lease;
+
+const LENGTH: Duration = Duration::from_millis(400);
+const STALENESS: Duration = Duration::from_secs(2);
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A lease that was renewed at `sent` and acknowledged by `replicas` replicas.
+fn renewed(group: usize, sent: u64, replicas: u64, commit: u64) -> Lease {
+    let mut lease = Lease::new(group, LENGTH, STALENESS);
+    let sequence = lease.renew(at(sent));
+    for replica in 1..=replicas {
+        lease.acknowledge(replica, sequence, Index::new(commit));
+    }
+    lease
+}
+
+// Each case guards against a lease without a majority.
+#[rstest]
+#[case(1, 0, false)]
+#[case(1, 1, true)]
+#[case(3, 1, false)]
+#[case(3, 2, true)]
+#[case(5, 2, false)]
+#[case(5, 3, true)]
+#[case(7, 4, true)]
+fn a_lease_needs_a_majority(#[case] group: usize, #[case] replicas: u64, #[case] held: bool) {
+    let lease = renewed(group, 1_000, replicas, 0);
+
+    assert_eq!(lease.held(at(1_001)), held);
+}
+
+/// Guards against a lease that counts from the arrival of an answer, which may
+/// be late.
+#[test]
+fn a_lease_counts_from_the_send_time() {
+    let lease = renewed(3, 1_000, 2, 0);
+
+    assert!(lease.held(at(1_399)));
+    assert!(!lease.held(at(1_400)));
+}
+
+/// Guards against a majority put together from two rounds, or from one replica
+/// that answers twice.
+#[test]
+fn acknowledgements_of_different_rounds_or_of_one_replica_do_not_add_up() {
+    let mut lease = Lease::new(3, LENGTH, STALENESS);
+    let first = lease.renew(at(0));
+    let second = lease.renew(at(150));
+    lease.acknowledge(1, first, Index::default());
+    lease.acknowledge(2, second, Index::default());
+    lease.acknowledge(2, second, Index::default());
+    lease.acknowledge(3, second + 1, Index::default());
+
+    assert!(!lease.held(at(151)));
+}
+
+/// Guards against an earlier round that is completed late and shortens the
+/// lease or the requirement.
+#[test]
+fn a_late_round_takes_nothing_back() {
+    let mut lease = Lease::new(3, LENGTH, STALENESS);
+    let first = lease.renew(at(0));
+    let second = lease.renew(at(150));
+    for replica in [1, 2] {
+        lease.acknowledge(replica, second, Index::new(9));
+    }
+    for replica in [1, 2] {
+        lease.acknowledge(replica, first, Index::new(3));
+    }
+    lease.applied(Index::new(3));
+
+    assert!(lease.held(at(549)));
+    assert!(!lease.current(at(200)), "index 9 is not applied");
+}
+
+// Each case guards against serving by a state that may be old.
+#[rstest]
+#[case::behind(9, 1_100, false)]
+#[case::exact(10, 1_100, true)]
+#[case::ahead(11, 1_100, true)]
+#[case::just_recent(10, 2_999, true)]
+#[case::too_long_ago(10, 3_000, false)]
+fn a_state_is_recent_once_it_has_what_a_majority_had(
+    #[case] applied: u64,
+    #[case] now: u64,
+    #[case] current: bool,
+) {
+    let mut lease = renewed(3, 1_000, 2, 10);
+    lease.applied(Index::new(applied));
+
+    assert_eq!(lease.current(at(now)), current);
+}
+
+/// Guards against a fenced node that goes on under its old lease.
+#[test]
+fn a_cleared_lease_is_neither_held_nor_current() {
+    let mut lease = renewed(3, 1_000, 3, 0);
+    lease.applied(Index::new(5));
+    lease.clear();
+
+    assert!(!lease.held(at(1_001)));
+    assert!(!lease.current(at(1_001)));
+}
--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -143,17 +143,20 @@
                 Err(mpsc::RecvTimeoutError::Timeout) => None,
                 Err(mpsc::RecvTimeoutError::Disconnected) => return,
             };
-            let mut outputs = Vec::new();
+            let mut steps = Vec::new();
             let mut commands = Vec::new();
             let more = inputs.try_iter().take(BATCH);
             for input in first.into_iter().chain(more) {
                 if matches!(input, Input::Stop) {
                     return;
                 }
-                self.input(input, &mut outputs, &mut commands);
+                steps.extend(self.input(input, &mut commands));
             }
+            steps.push(RaftInput::Tick);
+            // All proposals of the batch share one sync.
             let now = self.clock.now();
-            self.raft.step(now, RaftInput::Tick, &mut outputs);
+            let mut outputs = Vec::new();
+            self.raft.batch(now, steps, &mut outputs);
             self.execute(outputs);
             self.plan(now, planner::Event::Tick, &mut commands);
             self.propose_planned(commands);
@@ -161,23 +164,22 @@
         }
     }
 
-    fn input(&mut self, input: Input, outputs: &mut Vec<Output>, commands: &mut Vec<Command>) {
-        let now = self.clock.now();
+    /// Handles what does not concern the consensus and returns what does.
+    fn input(&mut self, input: Input, commands: &mut Vec<Command>) -> Option<RaftInput> {
         match input {
-            Input::Message { from, message } => {
-                self.raft
-                    .step(now, RaftInput::Message { from, message }, outputs);
+            Input::Message { from, message } => Some(RaftInput::Message { from, message }),
+            Input::Propose { command, reply } => Some(self.proposal(&command, Some(reply))),
+            Input::Observe(event) => {
+                self.plan(self.clock.now(), event, commands);
+                None
             }
-            Input::Propose { command, reply } => {
-                let step = self.proposal(&command, Some(reply));
-                self.raft.step(now, step, outputs);
-            }
-            Input::Observe(event) => self.plan(now, event, commands),
             Input::Read { from, reply } => {
                 let entries = self.raft.entries(from, READ).map(<[Entry]>::to_vec);
+                // The subscriber may have gone away.
                 let _ = reply.send(entries);
+                None
             }
-            Input::Stop => {}
+            Input::Stop => None,
         }
     }
 
@@ -201,12 +203,13 @@
         if commands.is_empty() {
             return;
         }
-        let mut outputs = Vec::new();
+        let mut steps = Vec::new();
         for command in commands {
             log(&command);
-            let step = self.proposal(&command, None);
-            self.raft.step(self.clock.now(), step, &mut outputs);
+            steps.push(self.proposal(&command, None));
         }
+        let mut outputs = Vec::new();
+        self.raft.batch(self.clock.now(), steps, &mut outputs);
         self.execute(outputs);
     }
 
--- a/wisteriaglade-node/src/seen.rs
+++ b/wisteriaglade-node/src/seen.rs
@@ -97,3 +97,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
