Test the first holders of a shard and a holder that runs out of room

A shard without holders must not run anything before the log names some, and a record without room must not hold back an end whose room is reserved. The latter test fails when a page without room is repeated as a whole.

--- a/wisteriaglade-once/src/holder.rs
+++ b/wisteriaglade-once/src/holder.rs
@@ -16,7 +16,8 @@
 use crate::{Answer, Cover, Key, Record, State};
 
 /// The largest sum of encoded records in a reply or in a [`Message::Copy`], in
-/// bytes. A frame between processes has at most 1 MiB.
+/// bytes; a record that is larger goes alone. A frame between processes has at most
+/// 1 MiB.
 pub const PAGE: usize = 512 * 1024;
 
 /// The holder of a node: records of all shards that were entrusted to it.
--- a/wisteriaglade-once/tests/once/steps.rs
+++ b/wisteriaglade-once/tests/once/steps.rs
@@ -293,3 +293,51 @@
     let outcome = outcome(&world, resend);
     assert!(matches!(outcome, Some(Final::Replay(_))), "{outcome:?}");
 }
+
+/// Guards against a new pool whose shards, without holders at first, never get ready
+/// or run something that no holder knows.
+#[test]
+fn the_first_holders_come_by_a_replacement() {
+    let mut world = World::quiet(0);
+    world.assign(Shard::new(0), 5, Vec::new());
+    world.run(15);
+    let request = begin(&mut world, 5);
+    world.run(500);
+    assert!(!world.oracle.has_run(&key()));
+
+    world.propose(Shard::new(0), nodes(FIRST));
+    world.run(200);
+
+    assert_eq!(world.table[&Shard::new(0)].holders, nodes(FIRST));
+    let outcome = outcome(&world, request);
+    assert!(
+        matches!(outcome, Some(Final::Acknowledge(_))),
+        "{outcome:?}"
+    );
+}
+
+/// Guards against a record without room that holds back an end with reserved room.
+#[test]
+fn a_record_without_room_does_not_hold_back_others() {
+    let mut world = World::quiet(0);
+    let memory = 22_000;
+    let config = holder::Config::default();
+    world.hosts[3].holder = Holder::new(holder::Config { memory, ..config });
+    let [early, late] = [1, 2].map(|id| make::key(key().hash, id));
+
+    // The start of the late key takes the room; its end and the start of the early
+    // key, which comes before it in a copy, do not arrive.
+    world.length = 100..101;
+    world.begin(late, false, Some(0), 2000);
+    world.run(50);
+    world.cut.insert(3);
+    world.length = 60_000..60_001;
+    world.begin(early, false, Some(0), 2000);
+    world.run(200);
+    assert_eq!(world.hosts[3].holder.len(), 1);
+
+    world.cut.clear();
+    world.run(3000);
+
+    assert_eq!(world.hosts[3].holder.len(), 2);
+}
