Reopen a link between replicas after a silence

The links that carry consensus messages were written to and never read, so a replica did not notice that nothing arrived any more, and sent into the dead connection for good.

The test cuts a follower off silently for 6 s.

--- /dev/null
+++ b/tests/partition.rs
@@ -0,0 +1,86 @@
+//! Faults on the way between processes.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use support::{
+    assert_within,
+    calls::{Ask, End as CallEnd},
+    fleet::{Fleet, Options, RULES},
+    proxy::{End, Rule},
+    within,
+};
+
+/// The bound for a key to be served again, and for a silent connection.
+const SERVED: Duration = Duration::from_secs(1);
+
+/// The longest election.
+const ELECTION: Duration = Duration::from_secs(2);
+
+/// The bound for a change to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(5);
+
+/// The patience of a test where the design gives no bound.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+const SILENT: Rule = Rule {
+    silent: true,
+    ..NO_FAULT
+};
+
+const CUT: Rule = Rule {
+    cut: true,
+    ..NO_FAULT
+};
+
+const NO_FAULT: Rule = Rule {
+    delay: Duration::ZERO,
+    jitter: Duration::ZERO,
+    loss: 0.0,
+    silent: false,
+    cut: false,
+};
+
+async fn fleet() -> Fleet {
+    let options = Options {
+        proxy: true,
+        ..Options::default()
+    };
+    Fleet::start(options).await
+}
+
+/// Guards against a replica that disturbs the others when it returns, that
+/// serves by an old state, or that misses a change.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_follower_that_returns_after_a_long_silence_catches_up_quietly() {
+    let fleet = fleet().await;
+    let leader = fleet.leader(3).await;
+    let follower = (leader + 1) % 3;
+    let key = fleet.keys_of(3, 1).await.remove(0);
+    let load = fleet.load(&[3, 4, leader], 6, Duration::from_millis(10));
+
+    fleet.isolate(&[follower], SILENT);
+    let start = Instant::now();
+    let change = fleet.change(leader, "megan", "during", 1, RULES).await;
+    // A node whose state is not current refuses; 5 s is the bound for that.
+    let stale = || async {
+        let call = fleet.call(follower, Ask::read(&key)).await;
+        match &call.end {
+            CallEnd::Answer(reply) if reply.outcome == "not-run" && call.took < SERVED => Ok(()),
+            _ => Err(format!("{call:?}")),
+        }
+    };
+    within(IN_FORCE, "a quick refusal of a cut off node", stale).await;
+    tokio::time::sleep_until((start + Duration::from_secs(6)).into()).await;
+    fleet.isolate(&[follower], NO_FAULT);
+    fleet.ready().await;
+    fleet.in_force(2, IN_FORCE).await;
+
+    load.stop().await;
+    fleet.check();
+    assert_eq!(change.status, 200, "{}", change.text());
+    assert_eq!(fleet.leader(3).await, leader, "the leader changed");
+}
+
--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -37,7 +37,8 @@
     seen::Seen,
     session,
     settings::{self, Policy, Settings},
-    subscription, target,
+    subscription::{self, PING},
+    target,
     view::View,
 };
 
@@ -388,11 +389,27 @@
     if link.send(&Message::Raft { from: own }).await.is_err() {
         return Some(());
     }
-    loop {
-        let message = Message::Step(Box::new(outbox.recv().await?));
-        let sent = timeout(context.settings.timing.silence, link.send(&message)).await;
-        if !matches!(sent, Ok(Ok(()))) {
-            return Some(());
+    let silence = context.settings.timing.silence;
+    let (mut reader, mut writer) = link.split();
+    // Writing alone would not show that nothing arrives any more.
+    let watch = async {
+        while let Ok(Ok(Message::Ping)) = timeout(silence, reader.recv::<Message>()).await {}
+        Some(())
+    };
+    let pass = async {
+        loop {
+            let message = match timeout(PING, outbox.recv()).await {
+                Ok(message) => Message::Step(Box::new(message?)),
+                Err(_) => Message::Ping,
+            };
+            let sent = timeout(silence, writer.send(&message)).await;
+            if !matches!(sent, Ok(Ok(()))) {
+                return Some(());
+            }
         }
+    };
+    tokio::select! {
+        outcome = watch => outcome,
+        outcome = pass => outcome,
     }
 }
--- a/wisteriaglade-node/src/peer.rs
+++ b/wisteriaglade-node/src/peer.rs
@@ -7,7 +7,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
-    time::timeout,
+    time::{Instant, interval, timeout, timeout_at},
 };
 use tracing::{debug, info, warn};
 use wisteriaglade_consensus as consensus;
@@ -18,7 +18,8 @@
 use crate::{
     context::Context,
     message::{Forward, Message, Proposed},
-    records, replica, subscription,
+    records, replica,
+    subscription::{self, PING},
 };
 
 /// The time for the handshake of a new connection.
@@ -144,10 +145,10 @@
                 return subscription::serve(replica, writer, from).await;
             }
             Message::Raft { from } => {
-                if let Some(replica) = &context.replica {
-                    steps(replica, from, inbox).await;
-                }
-                return Ok(());
+                let Some(replica) = &context.replica else {
+                    return Ok(());
+                };
+                return steps(context, replica, from, inbox, writer).await;
             }
             // What is left over from an exchange that ended early.
             Message::Chunk(_) | Message::End | Message::Cut => {}
@@ -171,17 +172,37 @@
     outcome
 }
 
-/// Takes consensus messages of another replica.
-async fn steps(replica: &replica::Handle, from: u64, inbox: &mut Inbox) {
+/// Takes consensus messages of another replica and shows it that the link is
+/// alive. Returns after a silence, so that the other side opens a new link.
+async fn steps(
+    context: &Context,
+    replica: &replica::Handle,
+    from: u64,
+    inbox: &mut Inbox,
+    writer: &mut Writer<TcpStream>,
+) -> wisteriaglade_wire::Result<()> {
     let from = consensus::Replica::new(from);
-    while let Some(message) = inbox.recv().await {
+    let mut ping = interval(PING);
+    let mut heard = Instant::now();
+    loop {
+        let message = tokio::select! {
+            message = timeout_at(heard + context.settings.timing.silence, inbox.recv()) => message,
+            _ = ping.tick() => {
+                writer.send(&Message::Ping).await?;
+                continue;
+            }
+        };
+        let Ok(Some(message)) = message else {
+            return Ok(());
+        };
+        heard = Instant::now();
         if let Message::Step(message) = message {
             let input = replica::Input::Message {
                 from,
                 message: *message,
             };
             if replica.inbox.send(input).is_err() {
-                return;
+                return Ok(());
             }
         }
     }
