Send a proposal over a new connection

A proposal waits up to 3 s for its answer, since it may have to outlast an election. Over a kept connection that had gone silent it waited as long before a new one was tried, at the replica that was asked first and again at the leader.

--- a/tests/partition.rs
+++ b/tests/partition.rs
@@ -84,3 +84,25 @@
     assert_eq!(fleet.leader(3).await, leader, "the leader changed");
 }
 
+/// Guards against a change that does not arrive because the subscriptions and
+/// the links between replicas have gone silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_arrives_although_all_connections_went_silent() {
+    let fleet = fleet().await;
+
+    for one in 0..5 {
+        for other in 0..5 {
+            fleet.net.lose(End::Host(one), End::Host(other));
+        }
+    }
+    let start = Instant::now();
+    let change = || async {
+        let answer = fleet.change(4, "megan", "after", 1, RULES).await;
+        (answer.status == 200).then_some(()).ok_or(answer.text())
+    };
+    within(IN_FORCE, "an accepted change", change).await;
+    fleet.in_force(2, IN_FORCE).await;
+
+    assert_within(start.elapsed(), IN_FORCE, &"the change");
+}
+
--- a/wisteriaglade-node/src/context.rs
+++ b/wisteriaglade-node/src/context.rs
@@ -131,7 +131,7 @@
         let message = Message::Lost { node };
         for replica in &self.settings.replicas {
             // Only the leader acts on it, and the operator may repeat it.
-            let _ = self.pool.call(replica.peer, &message, PROPOSE).await;
+            let _ = self.pool.call_anew(replica.peer, &message, PROPOSE).await;
         }
     }
 
@@ -201,7 +201,9 @@
             return tokio::time::timeout(PROPOSE, propose).await.ok();
         }
         let peer = self.settings.replicas.iter().find(|r| r.id == id)?.peer;
-        match self.pool.call(peer, message, PROPOSE).await {
+        // An answer takes as long as an election, so a kept connection that has
+        // gone silent would be noticed only after that time.
+        match self.pool.call_anew(peer, message, PROPOSE).await {
             Ok(Message::Proposed(outcome)) => Some(outcome),
             _ => None,
         }
