Stop asking a fenced node what became of a request

An ingress node asked the lost owner twice over new connections, 250 ms each for the connection and the answer, although the control log had fenced the owner meanwhile and its keys had a new one.

The test cuts one data centre off silently.

--- a/tests/partition.rs
+++ b/tests/partition.rs
@@ -84,6 +84,56 @@
     assert_eq!(fleet.leader(3).await, leader, "the leader changed");
 }
 
+/// Guards against keys and records that depend on one data centre.
+#[rstest]
+#[case::with_a_replica(&[0], CUT)]
+#[case::silently(&[0], SILENT)]
+#[case::two_hosts(&[3, 4], CUT)]
+#[case::two_hosts_silently(&[3, 4], SILENT)]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_keys_and_records_of_a_lost_data_centre_survive(
+    #[case] lost: &'static [usize],
+    #[case] rule: Rule,
+) {
+    let fleet = fleet().await;
+    let elected = if lost.contains(&fleet.leader(1).await) {
+        ELECTION
+    } else {
+        Duration::ZERO
+    };
+    let mut keys = Vec::new();
+    for &host in lost {
+        keys.extend(fleet.keys_of(host, 4).await);
+    }
+    let books: Vec<Ask> = keys
+        .iter()
+        .map(|key| Ask::book(key, &format!("before-{key}")))
+        .collect();
+    for ask in &books {
+        fleet.call(1, ask.clone()).await.expect().unwrap();
+    }
+    let load = fleet.load(&[1, 2], 6, Duration::from_millis(10));
+
+    fleet.isolate(lost, rule);
+    let start = Instant::now();
+    for key in &keys {
+        let look = || async { fleet.call(1, Ask::read(key)).await.expect() };
+        within(PATIENCE, "a served key", look).await;
+    }
+    let took = start.elapsed();
+    for ask in &books {
+        let look = || async { fleet.call(2, ask.clone()).await.expect() };
+        within(PATIENCE, "a replayed booking", look).await;
+    }
+    fleet.isolate(lost, NO_FAULT);
+    fleet.ready().await;
+
+    load.stop().await;
+    fleet.check();
+    eprintln!("served again after {took:?}");
+    assert_within(took, SERVED + elected, &lost);
+}
+
 /// Guards against a change that does not arrive because the subscriptions and
 /// the links between replicas have gone silent.
 #[tokio::test(flavor = "multi_thread")]
--- a/wisteriaglade-node/src/forward.rs
+++ b/wisteriaglade-node/src/forward.rs
@@ -17,6 +17,7 @@
     lock,
     message::{Forward, Head, Known, Message},
     pool::Link,
+    read,
     refusal::{Reason, Refusal},
 };
 
@@ -44,6 +45,7 @@
     let call = Exchange {
         context,
         peer,
+        node,
         request,
     };
     let forward = message(context, node, &job);
@@ -124,6 +126,7 @@
 struct Exchange<'a> {
     context: &'a Arc<Context>,
     peer: SocketAddr,
+    node: Node,
     request: Request,
 }
 
@@ -193,9 +196,32 @@
         keep(self.context, self.peer, reader, sending).await;
     }
 
-    /// Asks over a new connection what became of the request.
+    /// Finds out what became of the request, unless its node is fenced: the
+    /// key gets another owner then, and asking would only delay the request.
     async fn resolve(&self) -> Refusal {
         self.context.pool.forget(self.peer);
+        tokio::select! {
+            () = self.fenced() => unreachable(),
+            refusal = self.query() => refusal,
+        }
+    }
+
+    /// Returns when the owner's node is fenced or removed.
+    async fn fenced(&self) {
+        let mut changes = self.context.applied.subscribe();
+        loop {
+            let gone = read(&self.context.view)
+                .state
+                .node(self.node)
+                .is_none_or(wisteriaglade_control::Process::is_fenced);
+            if gone || changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Asks over a new connection.
+    async fn query(&self) -> Refusal {
         let message = Message::Query {
             request: self.request,
         };
@@ -217,13 +243,17 @@
                 _ => {}
             }
         }
-        Refusal::unknown(
-            Reason::ConnectionLost,
-            "the owner's node cannot be reached any more",
-        )
+        unreachable()
     }
 }
 
+fn unreachable() -> Refusal {
+    Refusal::unknown(
+        Reason::ConnectionLost,
+        "the owner's node cannot be reached any more",
+    )
+}
+
 /// Keeps a link whose both directions are at the end of an exchange.
 async fn keep(context: &Context, peer: SocketAddr, reader: Reader<TcpStream>, sending: Sending) {
     // A body that is still being sent would mix with the next exchange.
