--- /dev/null
+++ b/tests/partition.rs
@@ -0,0 +1,324 @@
+//! Faults on the way between processes.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use support::{
+    assert_within,
+    calls::{Ask, End as CallEnd},
+    fleet::{Fleet, Options, RULES},
+    proxy::{End, Rule},
+    within,
+};
+
+/// The bound for a key to be served again, and for a silent connection.
+const SERVED: Duration = Duration::from_secs(1);
+
+/// The longest election.
+const ELECTION: Duration = Duration::from_secs(2);
+
+/// The bound for a change to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(5);
+
+/// The patience of a test where the design gives no bound.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+const SILENT: Rule = Rule {
+    silent: true,
+    ..NO_FAULT
+};
+
+const CUT: Rule = Rule {
+    cut: true,
+    ..NO_FAULT
+};
+
+const NO_FAULT: Rule = Rule {
+    delay: Duration::ZERO,
+    jitter: Duration::ZERO,
+    loss: 0.0,
+    silent: false,
+    cut: false,
+};
+
+async fn fleet() -> Fleet {
+    let options = Options {
+        proxy: true,
+        ..Options::default()
+    };
+    Fleet::start(options).await
+}
+
+/// Guards against a replica that disturbs the others when it returns, that
+/// serves by an old state, or that misses a change.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_follower_that_returns_after_a_long_silence_catches_up_quietly() {
+    let fleet = fleet().await;
+    let leader = fleet.leader(3).await;
+    let follower = (leader + 1) % 3;
+    let key = fleet.keys_of(3, 1).await.remove(0);
+    let load = fleet.load(&[3, 4, leader], 6, Duration::from_millis(10));
+
+    fleet.isolate(&[follower], SILENT);
+    let start = Instant::now();
+    let change = fleet.change(leader, "megan", "during", 1, RULES).await;
+    // A node whose state is not current refuses; 5 s is the bound for that.
+    let stale = || async {
+        let call = fleet.call(follower, Ask::read(&key)).await;
+        match &call.end {
+            CallEnd::Answer(reply) if reply.outcome == "not-run" && call.took < SERVED => Ok(()),
+            _ => Err(format!("{call:?}")),
+        }
+    };
+    within(IN_FORCE, "a quick refusal of a cut off node", stale).await;
+    tokio::time::sleep_until((start + Duration::from_secs(6)).into()).await;
+    fleet.isolate(&[follower], NO_FAULT);
+    fleet.ready().await;
+    fleet.in_force(2, IN_FORCE).await;
+
+    load.stop().await;
+    fleet.check();
+    assert_eq!(change.status, 200, "{}", change.text());
+    assert_eq!(fleet.leader(3).await, leader, "the leader changed");
+}
+
+/// Guards against keys and records that depend on one data centre.
+#[rstest]
+#[case::with_a_replica(&[0], CUT)]
+#[case::silently(&[0], SILENT)]
+#[case::two_hosts(&[3, 4], CUT)]
+#[case::two_hosts_silently(&[3, 4], SILENT)]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_keys_and_records_of_a_lost_data_centre_survive(
+    #[case] lost: &'static [usize],
+    #[case] rule: Rule,
+) {
+    let fleet = fleet().await;
+    let elected = if lost.contains(&fleet.leader(1).await) {
+        ELECTION
+    } else {
+        Duration::ZERO
+    };
+    let mut keys = Vec::new();
+    for &host in lost {
+        keys.extend(fleet.keys_of(host, 4).await);
+    }
+    let books: Vec<Ask> = keys
+        .iter()
+        .map(|key| Ask::book(key, &format!("before-{key}")))
+        .collect();
+    for ask in &books {
+        fleet.call(1, ask.clone()).await.expect().unwrap();
+    }
+    let load = fleet.load(&[1, 2], 6, Duration::from_millis(10));
+
+    fleet.isolate(lost, rule);
+    let start = Instant::now();
+    for key in &keys {
+        let look = || async { fleet.call(1, Ask::read(key)).await.expect() };
+        within(PATIENCE, "a served key", look).await;
+    }
+    let took = start.elapsed();
+    for ask in &books {
+        let look = || async { fleet.call(2, ask.clone()).await.expect() };
+        within(PATIENCE, "a replayed booking", look).await;
+    }
+    fleet.isolate(lost, NO_FAULT);
+    fleet.ready().await;
+
+    load.stop().await;
+    fleet.check();
+    eprintln!("served again after {took:?}");
+    assert_within(took, SERVED + elected, &lost);
+}
+
+/// Guards against a node that keeps callers waiting, or runs work, when it
+/// cannot renew its lease.
+#[rstest]
+#[case::cut(CUT)]
+#[case::silent(SILENT)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_without_any_replica_refuses_quickly(#[case] rule: Rule) {
+    let fleet = fleet().await;
+    let key = fleet.keys_of(4, 1).await.remove(0);
+    let load = fleet.load(&[0, 3], 4, Duration::from_millis(10));
+
+    fleet.net.between(&[4], &[0, 1, 2], rule);
+    for ask in [Ask::read(&key), Ask::book(&key, "alone")] {
+        let look = || async {
+            let call = fleet.call(4, ask.clone()).await;
+            match call.outcome() {
+                "not-run" if call.took < SERVED => Ok(()),
+                _ => Err(format!("{call:?}")),
+            }
+        };
+        within(IN_FORCE, "a quick refusal", look).await;
+    }
+    fleet.net.between(&[4], &[0, 1, 2], NO_FAULT);
+    fleet.ready().await;
+
+    load.stop().await;
+    fleet.check();
+}
+
+/// What happens to the connections that exist. New ones work.
+#[derive(Debug, Clone, Copy)]
+enum Loss {
+    Silent,
+    HalfOpen,
+}
+
+fn lose(fleet: &Fleet, one: usize, other: usize, loss: Loss) {
+    let (one, other) = (End::Host(one), End::Host(other));
+    match loss {
+        Loss::Silent => fleet.net.lose(one, other),
+        Loss::HalfOpen => fleet.net.half_open(one, other),
+    }
+}
+
+/// Guards against requests that hang on a connection whose state was lost on
+/// the way, when it was idle or carried the request.
+#[rstest]
+#[case::idle(Loss::Silent, Duration::ZERO)]
+#[case::idle_half_open(Loss::HalfOpen, Duration::ZERO)]
+#[case::at_work(Loss::Silent, Duration::from_millis(500))]
+#[case::at_work_half_open(Loss::HalfOpen, Duration::from_millis(500))]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_outlives_the_silence_of_its_connection(
+    #[case] loss: Loss,
+    #[case] work: Duration,
+) {
+    let fleet = fleet().await;
+    let keys = fleet.keys_of(4, 4).await;
+    // Retries are limited to a tenth of the requests before them, and each of
+    // the 8 requests below needs one.
+    for _ in 0..30 {
+        for key in &keys {
+            fleet.call(3, Ask::read(key)).await.expect().unwrap();
+        }
+    }
+    let asks: Vec<Ask> = keys
+        .iter()
+        .flat_map(|key| [Ask::read(key), Ask::book(key, &format!("s-{key}"))])
+        .map(|ask| ask.taking(work))
+        .collect();
+
+    if work.is_zero() {
+        lose(&fleet, 3, 4, loss);
+    }
+    let (calls, caller) = (fleet.calls.clone(), fleet.hosts[3].caller);
+    let flight: Vec<_> = asks
+        .into_iter()
+        .map(|ask| {
+            let calls = calls.clone();
+            tokio::spawn(async move { calls.send(3, caller, ask).await })
+        })
+        .collect();
+    if !work.is_zero() {
+        let running = || async {
+            let runs = fleet.hosts[4].target.executions();
+            let running = runs.iter().filter(|run| run.end.is_none()).count();
+            (running == flight.len())
+                .then_some(())
+                .ok_or(format!("{running} run"))
+        };
+        within(PATIENCE, "requests in flight", running).await;
+        lose(&fleet, 3, 4, loss);
+    }
+    let mut ended = Vec::new();
+    for call in flight {
+        ended.push(call.await.unwrap());
+    }
+
+    fleet.check();
+    // Silence of 1 s, and work that may be repeated runs again.
+    let bound = SERVED + work + work;
+    for call in ended {
+        let call = call.expect().unwrap();
+        assert_within(call.took, bound, &call);
+    }
+}
+
+/// Guards against a change that does not arrive because the subscriptions and
+/// the links between replicas have gone silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_arrives_although_all_connections_went_silent() {
+    let fleet = fleet().await;
+
+    for one in 0..5 {
+        for other in 0..5 {
+            fleet.net.lose(End::Host(one), End::Host(other));
+        }
+    }
+    let start = Instant::now();
+    let change = || async {
+        let answer = fleet.change(4, "megan", "after", 1, RULES).await;
+        (answer.status == 200).then_some(()).ok_or(answer.text())
+    };
+    within(IN_FORCE, "an accepted change", change).await;
+    fleet.in_force(2, IN_FORCE).await;
+
+    assert_within(start.elapsed(), IN_FORCE, &"the change");
+}
+
+/// Guards against two owners when one host is cut off while another one is
+/// paused, and both return as though nothing had happened.
+#[rstest]
+#[case::fencing(true)]
+#[case::no_fencing(false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_partition_together_with_a_pause_gives_no_key_two_owners(#[case] fencing: bool) {
+    let fleet = Fleet::start(Options {
+        proxy: true,
+        fencing,
+        ..Options::default()
+    })
+    .await;
+    let keys = [fleet.keys_of(3, 3).await, fleet.keys_of(4, 3).await].concat();
+    let load = fleet.load(&[0, 1, 2], 8, Duration::from_millis(50));
+    let aside = fleet.load(&[3], 2, Duration::from_millis(50));
+
+    fleet.isolate(&[3], SILENT);
+    fleet.process(4).pause();
+    for key in &keys {
+        let look = || async { fleet.call(0, Ask::read(key)).await.expect() };
+        within(PATIENCE, "a served key", look).await;
+    }
+    fleet.process(4).resume();
+    fleet.isolate(&[3], NO_FAULT);
+    fleet.ready().await;
+
+    load.stop().await;
+    aside.stop().await;
+    fleet.check();
+}
+
+/// Guards against wrong answers and lost leases on a bad network: delays that
+/// let messages overtake one another, and lost datagrams.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_network_that_reorders_and_loses_changes_no_outcome() {
+    let fleet = fleet().await;
+    let rule = Rule {
+        delay: Duration::from_millis(1),
+        jitter: Duration::from_millis(20),
+        loss: 0.1,
+        ..NO_FAULT
+    };
+    let all = [0, 1, 2, 3, 4];
+
+    fleet.net.between(&all, &all, rule);
+    let load = fleet.load(&all, 16, Duration::from_millis(5));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    load.stop().await;
+
+    fleet.check();
+    let calls = fleet.calls.all();
+    let served = calls.iter().filter(|call| call.served()).count();
+    assert!(
+        served * 10 >= calls.len() * 9,
+        "{served} of {}",
+        calls.len()
+    );
+}
