Count control bytes and give the reasons of refusals in measurements

Ports of 127.0.0.1 that were free when the driver chose them were taken by outgoing connections before a node bound them, so that about one start in five failed; each cluster now has loopback addresses of its own. The daemon counts the bytes of datagrams and of control entries (`control_bytes`), so that the cost of an idle node can be compared with the 5 KB/s of the design.

--- a/examples/measure/cluster.rs
+++ b/examples/measure/cluster.rs
@@ -1,11 +1,11 @@
 //! Every node and target of one deployment on loopback.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU8, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -61,7 +61,7 @@
         data: &Path,
     ) -> Result<(Self, Option<Arc<Relay>>), Error> {
         let binary = process::binary()?;
-        let addresses = addresses(workload.hosts.len())?;
+        let addresses = addresses(workload.hosts.len());
         let relay = match relayed {
             Some(host) => Some(Relay::start(addresses[host].peer).await?),
             None => None,
@@ -240,21 +240,29 @@
     }
 }
 
-fn addresses(count: usize) -> std::io::Result<Vec<Addresses>> {
-    // All of them are bound at once, so that no port is given out twice.
-    let listeners: Vec<TcpListener> = (0..count * 3)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
-        .collect::<Result<_, _>>()?;
-    let ports: Vec<SocketAddr> = listeners
-        .iter()
-        .map(TcpListener::local_addr)
-        .collect::<Result<_, _>>()?;
-    let addresses = ports.chunks(3).map(|ports| Addresses {
-        caller: ports[0],
-        peer: ports[1],
-        admin: ports[2],
-    });
-    Ok(addresses.collect())
+/// Clusters that this process has started.
+static STARTED: AtomicU8 = AtomicU8::new(0);
+
+/// The most hosts of a cluster.
+const HOSTS: u8 = 20;
+
+/// An address of the loopback network for each host. Ports of 127.0.0.1 are not
+/// used, since outgoing connections take any of them between the choice and the
+/// start of a node.
+fn addresses(count: usize) -> Vec<Addresses> {
+    let cluster = STARTED.fetch_add(1, Ordering::Relaxed) * HOSTS;
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = |host: usize| {
+        let host = u8::try_from(host + 1).expect("a cluster has a few hosts");
+        IpAddr::from([127, 64 | (high & 63), low, cluster + host])
+    };
+    (0..count)
+        .map(|host| Addresses {
+            caller: SocketAddr::new(ip(host), 8080),
+            peer: SocketAddr::new(ip(host), 7946),
+            admin: SocketAddr::new(ip(host), 9090),
+        })
+        .collect()
 }
 
 fn settings(
--- a/examples/measure/fault.rs
+++ b/examples/measure/fault.rs
@@ -222,7 +222,8 @@
         let (load, served) = (Arc::clone(load), Arc::clone(&served));
         probes.spawn(async move {
             let host = load.pick();
-            if load.attempt(probe(&load, key), host).await == Some(End::Served) {
+            let answer = load.attempt(probe(&load, key), host).await;
+            if matches!(answer, Some((End::Served, _))) {
                 let now = load.cluster.book.now();
                 let mut served = served.lock().expect("not poisoned");
                 served.entry(key).or_default().push(now);
--- a/examples/measure/figures.rs
+++ b/examples/measure/figures.rs
@@ -1,7 +1,7 @@
 //! The figures of one run.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::atomic::Ordering,
     time::Duration,
 };
@@ -33,6 +33,8 @@
     pub p50_ms: f64,
     pub p99_ms: f64,
     pub p999_ms: f64,
+    /// Why requests were not served, with their number.
+    pub reasons: BTreeMap<String, usize>,
 }
 
 /// How one member was served while it shared a pool.
@@ -148,6 +150,10 @@
     let served = samples.iter().filter(|sample| sample.end == End::Served);
     let short = served.filter(|sample| sample.work < SHORT);
     let times = histogram(short.map(|sample| sample.latency));
+    let mut reasons = BTreeMap::new();
+    for reason in samples.iter().filter_map(|sample| sample.reason.as_ref()) {
+        *reasons.entry(reason.to_string()).or_default() += 1;
+    }
     Service {
         sent: samples.len(),
         served_share: share(End::Served),
@@ -156,6 +162,7 @@
         p50_ms: quantile(&times, 0.5),
         p99_ms: quantile(&times, 0.99),
         p999_ms: quantile(&times, 0.999),
+        reasons,
     }
 }
 
--- a/examples/measure/load.rs
+++ b/examples/measure/load.rs
@@ -50,15 +50,19 @@
 }
 
 /// One request as its caller saw it.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Sample {
     pub phase: Phase,
     pub route: Route,
     pub work: f64,
     pub latency: Duration,
     pub end: End,
+    pub reason: Reason,
 }
 
+/// The reason of a refusal or of an unknown outcome; empty for served requests.
+pub type Reason = Option<Arc<str>>;
+
 /// One request that is to be sent.
 #[derive(Debug, Clone, Copy)]
 pub struct Plan {
@@ -205,7 +209,7 @@
                 }
             };
             let first = async {
-                let end = load.call(plan).await;
+                let (end, reason) = load.call(plan).await;
                 let latency = load.cluster.book.now().saturating_sub(sent);
                 let sample = Sample {
                     phase: plan.phase,
@@ -213,6 +217,7 @@
                     work: plan.work,
                     latency,
                     end,
+                    reason,
                 };
                 load.samples.lock().expect("not poisoned").push(sample);
             };
@@ -223,19 +228,21 @@
 
     /// Sends a request as a caller does: to another node when one fails it, and
     /// again while its outcome is unknown.
-    pub async fn call(&self, plan: Plan) -> End {
+    pub async fn call(&self, plan: Plan) -> (End, Reason) {
+        let mut last = None;
         for _ in 0..ATTEMPTS {
             let host = self.pick();
             match self.attempt(plan, host).await {
-                Some(End::Unknown) | None => {}
-                Some(end) => return end,
+                Some((End::Unknown, reason)) => last = reason,
+                Some(ended) => return ended,
+                None => last = Some("no-answer".into()),
             }
         }
-        End::Unknown
+        (End::Unknown, last)
     }
 
     /// One attempt of a caller at one node. `None` without an answer.
-    pub async fn attempt(&self, plan: Plan, host: usize) -> Option<End> {
+    pub async fn attempt(&self, plan: Plan, host: usize) -> Option<(End, Reason)> {
         sleep(self.workload.latency).await;
         let end = self.exchange(plan, host).await;
         sleep(self.workload.latency).await;
@@ -243,7 +250,7 @@
     }
 
     /// The same without the latency to callers.
-    pub async fn exchange(&self, plan: Plan, host: usize) -> Option<End> {
+    pub async fn exchange(&self, plan: Plan, host: usize) -> Option<(End, Reason)> {
         let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
         match timeout(plan.deadline() + GRACE, self.transmit(plan, host, attempt)).await {
             Ok(Ok(answer)) => Some(self.judge(plan, attempt, &answer)),
@@ -286,7 +293,8 @@
             .await
     }
 
-    fn judge(&self, plan: Plan, attempt: u64, answer: &Answer) -> End {
+    fn judge(&self, plan: Plan, attempt: u64, answer: &Answer) -> (End, Reason) {
+        let reason = || answer.json()["reason"].as_str().map(Arc::from);
         match answer.outcome() {
             "done" if answer.status == StatusCode::OK => {
                 if answer.text() != target::answer(plan.operation, plan.key) {
@@ -297,13 +305,13 @@
                 if plan.route.once {
                     self.acknowledged.lock().expect("not poisoned").push(plan);
                 }
-                End::Served
+                (End::Served, None)
             }
             "not-run" => {
                 self.refused.lock().expect("not poisoned").push(attempt);
-                End::Refused
+                (End::Refused, reason())
             }
-            _ => End::Unknown,
+            _ => (End::Unknown, reason()),
         }
     }
 
--- a/examples/measure/report.rs
+++ b/examples/measure/report.rs
@@ -73,6 +73,18 @@
         for (name, figure) in LINES {
             row(name, self.runs.iter().map(figure));
         }
+        for run in &self.runs {
+            println!(
+                "not served at the peak, {}: {:?}",
+                run.policy, run.peak.reasons
+            );
+            for member in &run.members {
+                println!(
+                    "not served while shared, {}, {}: {:?}",
+                    run.policy, member.name, member.service.reasons
+                );
+            }
+        }
         for bound in &self.bounds {
             let met = match bound.met {
                 Some(true) => "met",
--- a/examples/measure/stage.rs
+++ b/examples/measure/stage.rs
@@ -242,7 +242,7 @@
                 }
                 let sent = Instant::now();
                 let plan = probe(&load, key);
-                if load.exchange(plan, host).await == Some(End::Served) {
+                if matches!(load.exchange(plan, host).await, Some((End::Served, _))) {
                     times.push(sent.elapsed());
                 } else {
                     failed.fetch_add(1, Ordering::Relaxed);
@@ -286,7 +286,7 @@
 async fn recorded(load: &Load, plan: Plan) -> bool {
     for _ in 0..TRIES {
         let host = load.pick();
-        if load.exchange(plan, host).await == Some(End::Served) {
+        if matches!(load.exchange(plan, host).await, Some((End::Served, _))) {
             return true;
         }
         sleep(Duration::from_millis(200)).await;
--- a/wisteriaglade-node/src/metrics.rs
+++ b/wisteriaglade-node/src/metrics.rs
@@ -25,6 +25,8 @@
     requests: Family<Answer, Counter>,
     durations: Family<Member, Histogram, fn() -> Histogram>,
     refusals: Family<Refused, Counter>,
+    /// Datagrams in both directions and the entries of the control log.
+    control: Counter,
     pub(crate) pending: Gauge,
     pub(crate) shards: Gauge,
     pub(crate) lease: Gauge,
@@ -57,6 +59,7 @@
             requests: Family::default(),
             durations: Family::new_with_constructor(|| Histogram::new(BUCKETS)),
             refusals: Family::default(),
+            control: Counter::default(),
             pending: Gauge::default(),
             shards: Gauge::default(),
             lease: Gauge::default(),
@@ -65,6 +68,11 @@
             records: Gauge::default(),
             registry: Mutex::new(Registry::default()),
         };
+        registry.register(
+            "control_bytes",
+            "Bytes of datagrams sent and received and of control entries received",
+            metrics.control.clone(),
+        );
         registry.register(
             "requests",
             "Requests answered to callers, by outcome",
@@ -126,6 +134,11 @@
             .observe(elapsed.as_secs_f64());
     }
 
+    /// Counts bytes that keep this node a member, as opposed to requests.
+    pub(crate) fn control(&self, bytes: u64) {
+        self.control.inc_by(bytes);
+    }
+
     /// Counts a refusal by the admission queue.
     pub(crate) fn refused(&self, member: &Name, reason: &str) {
         self.refusals
--- a/wisteriaglade-node/src/session.rs
+++ b/wisteriaglade-node/src/session.rs
@@ -185,6 +185,7 @@
         };
         for replica in &context.settings.replicas {
             // A lost datagram is covered by the next round.
+            context.metrics.control(bytes.len() as u64);
             let _ = context.udp.send_to(&bytes, replica.peer).await;
         }
     }
--- a/wisteriaglade-node/src/subscription.rs
+++ b/wisteriaglade-node/src/subscription.rs
@@ -51,10 +51,13 @@
     let from = read(&context.view).applied.next();
     link.send(&Message::Subscribe { from }).await?;
     let mut snapshot = Vec::new();
+    let mut counted = 0;
     loop {
         let message = timeout(context.settings.timing.silence, link.recv::<Message>())
             .await
             .map_err(|_| pool::Error::Timeout)??;
+        context.metrics.control(link.received() - counted);
+        counted = link.received();
         match message {
             Message::Entries(entries) => apply(context, &entries),
             Message::Snapshot { index, last, piece } => {
--- a/wisteriaglade-wire/src/link.rs
+++ b/wisteriaglade-wire/src/link.rs
@@ -35,6 +35,7 @@
 pub struct Reader<S> {
     stream: BufReader<ReadHalf<S>>,
     body: BytesMut,
+    received: u64,
 }
 
 /// The sending direction of a [`Link`].
@@ -96,6 +97,12 @@
         self.reader.recv().await
     }
 
+    /// The size of all frames received so far, in bytes.
+    #[must_use]
+    pub const fn received(&self) -> u64 {
+        self.reader.received
+    }
+
     /// Separates the two directions.
     #[must_use]
     pub fn split(self) -> (Reader<S>, Writer<S>) {
@@ -114,6 +121,7 @@
             reader: Reader {
                 stream: BufReader::new(read),
                 body: BytesMut::new(),
+                received: 0,
             },
             writer: Writer { stream: write },
         }
@@ -186,6 +194,7 @@
         let length = Frame::length(prefix)?;
         self.body.resize(length, 0);
         self.stream.read_exact(&mut self.body).await?;
+        self.received += (Frame::PREFIX + length) as u64;
         Frame::decode(&self.body)
     }
 
