Count the wait after a fence from the last acknowledged renewal

Cause: the wait of a whole lease began when the fence was committed, 350 ms after the node fell silent, and a node that followed the lost replica learned of the new owners only after 1 s of silence on its subscription. The replicas now tell the leader how long ago they last acknowledged the fenced node, and a node whose subscription lacks an index that renewals name subscribes to the replica that named it.

Tests: the_wait_counts_from_the_last_acknowledged_renewal, an_index_that_does_not_arrive_names_the_replica_that_has_it, and the partition tests.

--- a/wisteriaglade-control/src/planner/event.rs
+++ b/wisteriaglade-control/src/planner/event.rs
@@ -1,5 +1,7 @@
 //! What the planner is told.
 
+use std::time::Duration;
+
 use wisteriaglade_types::Node;
 
 use super::Load;
@@ -37,6 +39,15 @@
         /// The node.
         node: Node,
     },
+    /// A majority of the replicas has applied the fence of a node, and none of
+    /// them acknowledged a renewal after `last`, on the clock of `now`. The
+    /// lease of the node ends a lease after that, not a lease after the fence.
+    Ceased {
+        /// The fenced node.
+        node: Node,
+        /// When the last renewal was acknowledged at the latest.
+        last: Duration,
+    },
     /// Time has passed. The driver sends it every 10 to 50 ms, and after it has
     /// applied entries.
     Tick,
--- a/wisteriaglade-control/src/planner/mod.rs
+++ b/wisteriaglade-control/src/planner/mod.rs
@@ -124,6 +124,7 @@
                 self.refused.entry(node).or_insert((now, now)).1 = now;
             }
             Event::Lost { node } => self.waits.lost(node),
+            Event::Ceased { node, last } => self.waits.ceased(node, last),
             Event::Tick => {}
         }
         if self.leading {
--- a/wisteriaglade-control/src/planner/waits.rs
+++ b/wisteriaglade-control/src/planner/waits.rs
@@ -15,6 +15,8 @@
 pub(crate) struct Waits {
     /// When each fence was first known to be committed.
     fenced: BTreeMap<Node, Duration>,
+    /// When the last renewal of a fenced node was acknowledged at the latest.
+    ceased: BTreeMap<Node, Duration>,
     /// The nodes whose hosts are off.
     off: BTreeSet<Node>,
     /// The version of the rules, and when it was first seen.
@@ -26,15 +28,22 @@
         self.off.insert(node);
     }
 
+    pub(crate) fn ceased(&mut self, node: Node, last: Duration) {
+        self.ceased.insert(node, last);
+    }
+
     /// Forgets when fences and rules were seen. What an operator said about a
     /// host stays true.
     pub(crate) fn restart(&mut self) {
         self.fenced.clear();
+        self.ceased.clear();
         self.rules = None;
     }
 
     pub(crate) fn observe(&mut self, now: Duration, state: &State) {
         self.fenced.retain(|node, _| state.node(*node).is_some());
+        self.ceased
+            .retain(|node, _| state.is_fenced(*node) && state.node(*node).is_some());
         self.off.retain(|node| state.node(*node).is_some());
         for process in state.nodes().filter(|process| process.is_fenced()) {
             self.fenced.entry(process.node()).or_insert(now);
@@ -57,7 +66,8 @@
             return false;
         };
         let lease = config.lease.mul_f64(1.0 + 2.0 * config.drift);
-        let expiry = fenced.saturating_add(lease);
+        let last = self.ceased.get(&process.node()).unwrap_or(fenced);
+        let expiry = last.min(fenced).saturating_add(lease);
         let checks = process.target().is_none_or(|target| target.fencing);
         if checks || self.off.contains(&process.node()) {
             return now >= expiry;
--- a/wisteriaglade-control/tests/loss.rs
+++ b/wisteriaglade-control/tests/loss.rs
@@ -186,3 +186,21 @@
     }
     assert!(assigned > 500, "only {assigned} assignments were checked");
 }
+
+/// Guards against a wait of a whole lease after the fence although a majority
+/// has shown when the last renewal was acknowledged, and against an assignment
+/// before the lease that began then is over.
+#[test]
+fn the_wait_counts_from_the_last_acknowledged_renewal() {
+    let (mut driver, lost) = lossy(true, &[2_000]);
+    let last = driver.renewals[&lost];
+    while driver.times(is_fence).is_empty() {
+        driver.run(ms(10));
+    }
+
+    driver.event(Event::Ceased { node: lost, last });
+    driver.run(ms(1_000));
+
+    let waited = driver.times(is_assign)[0].saturating_sub(last);
+    assert!(waited >= ms(408) && waited <= ms(438), "{waited:?}");
+}
--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -18,7 +18,7 @@
 use wisteriaglade_consensus as consensus;
 use wisteriaglade_control::{self as control, State, planner};
 use wisteriaglade_router as router;
-use wisteriaglade_types::Index;
+use wisteriaglade_types::{Index, Node};
 use wisteriaglade_wire::Key;
 
 use crate::{
@@ -127,9 +127,12 @@
         };
         let (replica, outgoing) = replica(&settings, clock)?;
         let context = Arc::new(context(settings, key, clock, addresses, udp, replica));
-        for (id, outbox) in outgoing {
+        for (id, outbox) in outgoing.messages {
             tokio::spawn(send_steps(Arc::clone(&context), id, outbox));
         }
+        if let Some(fenced) = outgoing.fenced {
+            tokio::spawn(replica::expiry::run(Arc::clone(&context), fenced));
+        }
         let admin = admin::start(&context).map_err(|error| Error::Admin(error.to_string()))?;
         let daemon = Self { context };
         daemon.spawn(callers, peers);
@@ -254,14 +257,21 @@
         .map_err(|error| Error::Bind("admin", address, error))
 }
 
-type Outgoing = Vec<(u64, mpsc::Receiver<consensus::Message>)>;
+/// What the replica's thread gives to the tasks of the process.
+#[derive(Default)]
+struct Outgoing {
+    /// Messages to each other replica.
+    messages: Vec<(u64, mpsc::Receiver<consensus::Message>)>,
+    /// Nodes whose fences were applied.
+    fenced: Option<mpsc::UnboundedReceiver<Node>>,
+}
 
 fn replica(settings: &Settings, clock: Clock) -> Result<(Option<replica::Handle>, Outgoing)> {
     let Some(local) = &settings.replica else {
-        return Ok((None, Vec::new()));
+        return Ok((None, Outgoing::default()));
     };
     let mut outbox = HashMap::new();
-    let mut outgoing = Vec::new();
+    let mut messages = Vec::new();
     for other in settings
         .replicas
         .iter()
@@ -269,9 +279,9 @@
     {
         let (sender, receiver) = mpsc::channel(OUTBOX);
         outbox.insert(other.id, sender);
-        outgoing.push((other.id, receiver));
+        messages.push((other.id, receiver));
     }
-    let handle = replica::start(replica::Options {
+    let (handle, fenced) = replica::start(replica::Options {
         id: local.id,
         members: settings.replicas.iter().map(|replica| replica.id).collect(),
         data: local.data.clone(),
@@ -286,6 +296,10 @@
         outbox,
     })
     .map_err(|error| Error::Replica(error.to_string()))?;
+    let outgoing = Outgoing {
+        messages,
+        fenced: Some(fenced),
+    };
     Ok((Some(handle), outgoing))
 }
 
--- a/wisteriaglade-node/src/datagrams.rs
+++ b/wisteriaglade-node/src/datagrams.rs
@@ -4,6 +4,7 @@
 
 use tracing::debug;
 use wisteriaglade_control::planner;
+use wisteriaglade_types::Node;
 use wisteriaglade_wire::Datagram as Sealed;
 
 use crate::{
@@ -51,13 +52,27 @@
             // An answer to an earlier id of this process says nothing about
             // the present one.
             if context.node() == Some(node) {
-                lock(&context.lease).acknowledge(replica, sequence, commit);
+                let (now, applied) = (context.clock.now(), read(&context.view).applied);
+                let mut lease = lock(&context.lease);
+                lease.acknowledge(replica, sequence, commit);
+                lease.heard(now, replica, commit, applied);
             }
             if leader.is_some() {
                 *lock(&context.leader) = leader;
             }
         }
         Datagram::Fenced { .. } => {}
+        Datagram::Age { node } => {
+            if let Some(replica) = &context.replica {
+                tell_age(context, replica, node, from).await;
+            }
+        }
+        Datagram::Aged { replica, node, age } => {
+            if let Some(own) = &context.replica {
+                let last = context.clock.now().saturating_sub(age);
+                own.acknowledged.learn(node, replica, last);
+            }
+        }
         Datagram::Load { node, load } => {
             if let Some(replica) = &context.replica {
                 replica.observe(crate::load::event(node, &load));
@@ -66,10 +81,24 @@
     }
 }
 
+async fn tell_age(context: &Context, replica: &replica::Handle, node: Node, from: SocketAddr) {
+    let Some(age) = replica::expiry::age(replica, context.clock.now(), node) else {
+        return;
+    };
+    let answer = Datagram::Aged {
+        replica: replica.id,
+        node,
+        age,
+    };
+    if let Ok(bytes) = Sealed::seal(&context.key, &answer) {
+        let _ = context.udp.send_to(&bytes, from).await;
+    }
+}
+
 async fn answer(
     context: &Context,
     replica: &replica::Handle,
-    node: wisteriaglade_types::Node,
+    node: Node,
     sequence: u64,
     from: SocketAddr,
 ) {
@@ -77,6 +106,10 @@
     let (verdict, commit, leader, leading) = {
         let board = read(&replica.board);
         let verdict = board.renew(now, node, context.settings.timing.contact);
+        if verdict == Verdict::Renewed {
+            let known = |node| board.state.node(node).is_some();
+            replica.acknowledged.note(now, node, known);
+        }
         (verdict, board.commit, board.leader, board.leading)
     };
     let reply = match verdict {
--- a/wisteriaglade-node/src/lease.rs
+++ b/wisteriaglade-node/src/lease.rs
@@ -11,6 +11,10 @@
 /// than any answer that still matters.
 const ROUNDS: usize = 64;
 
+/// The time within which a committed entry arrives over a subscription that
+/// works.
+const LATE: Duration = Duration::from_millis(60);
+
 /// One lease for all shards of a node, renewed with a majority of replicas.
 ///
 /// All times are on the node's own clock and count from the send time of a
@@ -25,6 +29,16 @@
     until: Option<Duration>,
     required: VecDeque<(Duration, Index)>,
     current: Option<Duration>,
+    /// The oldest commit index that is named by a replica and not applied
+    /// here, since when, and by which replica.
+    missing: Option<Missing>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Missing {
+    index: Index,
+    since: Duration,
+    replica: u64,
 }
 
 #[derive(Debug)]
@@ -48,6 +62,7 @@
             until: None,
             required: VecDeque::new(),
             current: None,
+            missing: None,
         }
     }
 
@@ -67,6 +82,28 @@
         self.sequence
     }
 
+    /// Notes which commit index a replica named, to see whether the
+    /// subscription has fallen behind.
+    pub(crate) fn heard(&mut self, now: Duration, replica: u64, commit: Index, applied: Index) {
+        if self.missing.is_some_and(|missing| missing.index <= applied) {
+            self.missing = None;
+        }
+        if commit > applied && self.missing.is_none() {
+            self.missing = Some(Missing {
+                index: commit,
+                since: now,
+                replica,
+            });
+        }
+    }
+
+    /// The replica that named an index which has not arrived here for a while.
+    pub(crate) fn ahead(&self, now: Duration, applied: Index) -> Option<u64> {
+        self.missing
+            .filter(|missing| missing.index > applied && now >= missing.since + LATE)
+            .map(|missing| missing.replica)
+    }
+
     /// Takes an acknowledgement of a replica that names its commit index.
     pub(crate) fn acknowledge(&mut self, replica: u64, sequence: u64, commit: Index) {
         let quorum = self.quorum;
--- a/wisteriaglade-node/src/lease/tests.rs
+++ b/wisteriaglade-node/src/lease/tests.rs
@@ -111,3 +111,20 @@
     assert!(!lease.held(at(1_001)));
     assert!(!lease.current(at(1_001)));
 }
+
+/// Guards against a node that keeps to a silent subscription while replicas
+/// tell it of entries that do not arrive, and against one that changes its
+/// subscription at every commit.
+#[test]
+fn an_index_that_does_not_arrive_names_the_replica_that_has_it() {
+    let mut lease = renewed(3, 0, 2, 0);
+    lease.heard(at(1_000), 2, Index::new(7), Index::new(6));
+    lease.heard(at(1_040), 3, Index::new(8), Index::new(6));
+
+    assert_eq!(lease.ahead(at(1_059), Index::new(6)), None);
+    assert_eq!(lease.ahead(at(1_060), Index::new(6)), Some(2));
+    assert_eq!(lease.ahead(at(1_060), Index::new(7)), None);
+
+    lease.heard(at(1_070), 3, Index::new(8), Index::new(7));
+    assert_eq!(lease.ahead(at(1_100), Index::new(7)), None);
+}
--- a/wisteriaglade-node/src/message.rs
+++ b/wisteriaglade-node/src/message.rs
@@ -130,6 +130,14 @@
     Fenced { node: Node },
     /// What a node observed, for the planner.
     Load { node: Node, load: Load },
+    /// Asks how long ago a fenced node was last acknowledged.
+    Age { node: Node },
+    /// The answer of a replica that has applied the fence.
+    Aged {
+        replica: u64,
+        node: Node,
+        age: Duration,
+    },
 }
 
 /// What a node observed over the last interval.
--- a/wisteriaglade-node/src/replica.rs
+++ b/wisteriaglade-node/src/replica.rs
@@ -3,12 +3,15 @@
 //! The consensus step function, the state machine and the planner run on one
 //! thread of their own, since a sync of the disk blocks for milliseconds.
 
+mod acknowledged;
 mod board;
 mod error;
+pub(crate) mod expiry;
 mod inbox;
 mod worker;
 
 pub(crate) use self::{
+    acknowledged::Acknowledged,
     board::{Board, Verdict},
     error::Error,
     inbox::{Handle, Input},
--- a/wisteriaglade-node/src/replica/inbox.rs
+++ b/wisteriaglade-node/src/replica/inbox.rs
@@ -7,7 +7,7 @@
 use wisteriaglade_control::{Command, planner};
 use wisteriaglade_types::Index;
 
-use super::board::Board;
+use super::{Acknowledged, board::Board};
 use crate::message::Proposed;
 
 /// An input of the replica's thread.
@@ -40,6 +40,7 @@
     pub(crate) id: u64,
     pub(crate) inbox: mpsc::Sender<Input>,
     pub(crate) board: Arc<RwLock<Board>>,
+    pub(crate) acknowledged: Arc<Acknowledged>,
     pub(crate) commit: watch::Receiver<Index>,
 }
 
--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -18,7 +18,7 @@
     Command, State,
     planner::{self, Planner},
 };
-use wisteriaglade_types::Index;
+use wisteriaglade_types::{Index, Node};
 
 use super::{Board, Error, Handle, Input, Result};
 use crate::{clock::Clock, message::Proposed, read, view::decode, write};
@@ -59,6 +59,8 @@
     config: wisteriaglade_control::Config,
     outbox: HashMap<u64, tokio_mpsc::Sender<wisteriaglade_consensus::Message>>,
     board: Arc<RwLock<Board>>,
+    /// Tells which fences are applied, while this replica leads.
+    fenced: tokio_mpsc::UnboundedSender<Node>,
     commit: watch::Sender<Index>,
     ticket: u64,
     waiting: HashMap<u64, Waiting>,
@@ -74,7 +76,10 @@
 type Waiting = Option<oneshot::Sender<Proposed>>;
 
 /// Opens the data directory and starts the thread.
-pub(crate) fn start(options: Options) -> Result<Handle> {
+///
+/// The receiver gets every node whose fence is applied while this replica
+/// leads.
+pub(crate) fn start(options: Options) -> Result<(Handle, tokio_mpsc::UnboundedReceiver<Node>)> {
     let (storage, restored) = Storage::open(&options.data).map_err(Error::Storage)?;
     let state = match &restored.snapshot {
         Some(snapshot) => {
@@ -107,6 +112,7 @@
     let raft = Raft::new(config, restored, options.clock.now());
     let (commit, commits) = watch::channel(applied);
     let (inbox, inputs) = mpsc::channel();
+    let (sender, receiver) = tokio_mpsc::unbounded_channel();
     let worker = Worker {
         clock: options.clock,
         raft,
@@ -115,6 +121,7 @@
         config: options.state,
         outbox: options.outbox,
         board: Arc::clone(&board),
+        fenced: sender,
         commit,
         ticket: 0,
         waiting: HashMap::new(),
@@ -127,12 +134,14 @@
         .name("control-replica".to_owned())
         .spawn(move || worker.run(&inputs))
         .map_err(Error::Thread)?;
-    Ok(Handle {
+    let handle = Handle {
         id: options.id,
         inbox,
         board,
+        acknowledged: Arc::default(),
         commit: commits,
-    })
+    };
+    Ok((handle, receiver))
 }
 
 impl Worker {
@@ -287,6 +296,12 @@
                 && let Some(command) = decode(data)
             {
                 let reply = board.state.apply(entry.index, &command);
+                if let Command::Fence { node } = command
+                    && self.leading
+                {
+                    // The receiver is gone only when the process ends.
+                    let _ = self.fenced.send(node);
+                }
                 self.replies.insert(entry.index, reply);
             }
             board.applied = entry.index;
@@ -306,6 +321,11 @@
             self.lead_from = None;
             self.leading = true;
             let mut commands = Vec::new();
+            for process in read(&self.board).state.nodes() {
+                if process.is_fenced() {
+                    let _ = self.fenced.send(process.node());
+                }
+            }
             if !read(&self.board).state.is_configured() {
                 // Proposed before any node can announce a target.
                 let config = self.config;
@@ -416,7 +436,7 @@
     }
 }
 
-fn note_fences(fences: &mut BTreeMap<Index, wisteriaglade_types::Node>, entries: &[Entry]) {
+fn note_fences(fences: &mut BTreeMap<Index, Node>, entries: &[Entry]) {
     for entry in entries {
         if let Payload::Data(data) = &entry.payload
             && let Some(Command::Fence { node }) = decode(data)
--- a/wisteriaglade-node/src/subscription.rs
+++ b/wisteriaglade-node/src/subscription.rs
@@ -8,11 +8,14 @@
 use wisteriaglade_control::State;
 use wisteriaglade_types::{Hash, Index};
 
-use crate::{context::Context, message::Message, pool, read, replica, view::View, write};
+use crate::{context::Context, lock, message::Message, pool, read, replica, view::View, write};
 
 /// The pause before another replica is tried.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// The interval of the looks at whether the subscription is late.
+const LOOK: Duration = Duration::from_millis(20);
+
 /// The interval of the signs of life on an idle subscription.
 pub(crate) const PING: Duration = Duration::from_millis(250);
 
@@ -32,17 +35,41 @@
     let mut next = start.get() as usize;
     while !context.shutdown.is_cancelled() {
         let replica = &replicas[next % replicas.len()];
-        let run = subscribe(&context, replica.peer);
         tokio::select! {
             () = context.shutdown.cancelled() => return,
-            outcome = run => {
+            ahead = behind(&context) => {
+                // Something is wrong with this subscription, and the replica
+                // that is ahead answers.
+                debug!(event = "subscription-late", replica = replica.id, ahead);
+                let ahead = replicas.iter().position(|other| other.id == ahead);
+                next = ahead.unwrap_or(next + 1);
+            }
+            outcome = subscribe(&context, replica.peer) => {
                 if let Err(error) = outcome {
                     debug!(event = "subscription-lost", replica = replica.id, error = %error);
                 }
+                next += 1;
+                sleep(PAUSE).await;
             }
         }
-        next += 1;
-        sleep(PAUSE).await;
+    }
+}
+
+/// Waits until a replica names an index in its answers to renewals that does
+/// not arrive here, and returns that replica.
+///
+/// A silent connection to a lost replica would show only after
+/// `timing.silence`, and the keys of the lost host would be unavailable at this
+/// node until then.
+async fn behind(context: &Context) -> u64 {
+    // A new subscription has time to deliver first.
+    sleep(PAUSE).await;
+    loop {
+        let (now, applied) = (context.clock.now(), read(&context.view).applied);
+        if let Some(replica) = lock(&context.lease).ahead(now, applied) {
+            return replica;
+        }
+        sleep(LOOK).await;
     }
 }
 
