Measure limits per target and keep probes from changing them

The driver compared the router with a target by reads without work before the load. They taught every node that one request alone takes 0.5 ms, so that the concurrency limit fell to 1 to 9 of 12 slots under load.

The sensitivity itself stays: cheap work at low load lowers the limit for costly work at high load (`knee.rs` compares service times between levels of concurrency as if the mix of work were the same).

--- a/examples/measure/load.rs
+++ b/examples/measure/load.rs
@@ -27,6 +27,9 @@
 /// The share of at-most-once requests that are sent a second time.
 const RESENT: f64 = 0.1;
 
+/// Callers of each member.
+const CALLERS: u64 = 40;
+
 /// How often a caller sends a request whose outcome it does not know.
 const ATTEMPTS: usize = 3;
 
@@ -276,7 +279,9 @@
         let operation = plan.operation.to_string();
         let attempt = attempt.to_string();
         let deadline = plan.deadline().as_millis().to_string();
+        let caller = format!("caller-{}", plan.operation % CALLERS);
         let mut headers = vec![
+            ("wg-caller", caller.as_str()),
             ("measure-work", work.as_str()),
             ("measure-operation", operation.as_str()),
             ("measure-attempt", attempt.as_str()),
--- a/examples/measure/report.rs
+++ b/examples/measure/report.rs
@@ -50,7 +50,7 @@
         ),
         (
             "router overhead within 14 ms at p99",
-            Some(run.overhead.p99_ms <= OVERHEAD),
+            run.overhead.as_ref().map(|times| times.p99_ms <= OVERHEAD),
         ),
         ("no promise broken", Some(run.broken_promises == 0)),
     ]
@@ -170,7 +170,9 @@
         times(&run.members[1].service)
     }),
     ("router overhead p50 / p99, ms", |run| {
-        format!("{:.2} / {:.2}", run.overhead.p50_ms, run.overhead.p99_ms)
+        run.overhead.as_ref().map_or("-".to_owned(), |times| {
+            format!("{:.2} / {:.2}", times.p50_ms, times.p99_ms)
+        })
     }),
     ("one node saturated: requests/s, CPU µs each", |run| {
         run.saturation.as_ref().map_or("-".to_owned(), |node| {
--- a/examples/measure/stage.rs
+++ b/examples/measure/stage.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -214,6 +214,49 @@
         .reduce(|sum, bytes| sum + bytes)
 }
 
+/// The interval between two readings of the concurrency limits.
+const LIMITS: Duration = Duration::from_millis(200);
+
+/// One reading of a concurrency limit: when, of which host, and its value.
+pub type Limit = (Duration, usize, u32);
+
+/// Readings of the concurrency limits of every node.
+#[derive(Debug, Default)]
+pub struct Limits(Mutex<Vec<Limit>>);
+
+impl Limits {
+    /// Reads the limits again and again.
+    pub async fn watch(&self, cluster: &Cluster) {
+        let mut ticks = tokio::time::interval(LIMITS);
+        loop {
+            ticks.tick().await;
+            for (position, host) in cluster.hosts.iter().enumerate() {
+                if host.is_lost() {
+                    continue;
+                }
+                let admin = host.process.addresses.admin;
+                let metrics = cluster.client.send(admin, "GET", "/metrics", &[], "").await;
+                let limit = metrics.ok().and_then(|answer| gauge(&answer.text()));
+                if let Some(limit) = limit {
+                    let reading = (cluster.book.now(), position, limit);
+                    self.0.lock().expect("not poisoned").push(reading);
+                }
+            }
+        }
+    }
+
+    pub fn take(&self) -> Vec<Limit> {
+        std::mem::take(&mut self.0.lock().expect("not poisoned"))
+    }
+}
+
+/// The concurrency limit in a document of metrics.
+fn gauge(metrics: &str) -> Option<u32> {
+    let mut lines = metrics.lines();
+    let value = lines.find_map(|line| line.strip_prefix("wisteriaglade_limit "))?;
+    value.parse().ok()
+}
+
 /// Saturates one node with requests for its own keys that need no work.
 pub async fn saturation(load: &Arc<Load>) -> Result<Saturation, Error> {
     let host = load.workload.hosts.iter().rposition(|host| host.pool == 0);
--- a/wisteriaglade-node/src/metrics.rs
+++ b/wisteriaglade-node/src/metrics.rs
@@ -28,6 +28,7 @@
     /// Datagrams in both directions and the entries of the control log.
     control: Counter,
     pub(crate) pending: Gauge,
+    pub(crate) limit: Gauge,
     pub(crate) shards: Gauge,
     pub(crate) lease: Gauge,
     pub(crate) applied: Gauge,
@@ -61,6 +62,7 @@
             refusals: Family::default(),
             control: Counter::default(),
             pending: Gauge::default(),
+            limit: Gauge::default(),
             shards: Gauge::default(),
             lease: Gauge::default(),
             applied: Gauge::default(),
@@ -95,6 +97,11 @@
                 "Requests that wait or run at the target",
                 &metrics.pending,
             ),
+            (
+                "limit",
+                "Requests that may run at the target at once",
+                &metrics.limit,
+            ),
             ("shards", "Shards that this node owns", &metrics.shards),
             ("lease", "Whether this node holds its lease", &metrics.lease),
             (
