Wait for a lost owner's successor outside the retry budget

A request whose owner's node refuses connections was tried again within the retry budget of its member, 10% of the requests. At a peak the budget was gone after the first moments of a host loss, and requests with 2 s of time left were refused with `unreachable` although the successor would have served them within 1 s. Such attempts add no work anywhere and now do not count; the pauses between them still double up to 320 ms and the deadline ends them.

--- a/wisteriaglade-node/src/ingress.rs
+++ b/wisteriaglade-node/src/ingress.rs
@@ -208,8 +208,13 @@
         }
         // A new owner is tried at once. The same one is tried again after a
         // pause and within the budget of the member, so that retries do not
-        // multiply the load of a node in trouble.
+        // multiply the load of a node in trouble. An attempt that did not
+        // reach the node adds no work there: counted against the budget, it
+        // made up to an eighth of the requests of a peak fail while lost hosts
+        // were replaced.
+        let absent = refusal.reason == Reason::Unreachable;
         if !moved(context, ingress, &place, pause).await
+            && !absent
             && !lock(&context.budget).retry(context.clock.now(), &member)
         {
             return Err(conclude(earlier, refusal.after(BEHIND)));
