--- /dev/null
+++ b/tests/measure.rs
@@ -0,0 +1,79 @@
+//! The checks of the measurement driver find broken promises.
+
+#[path = "../examples/measure/book.rs"]
+#[allow(dead_code, reason = "the driver uses the rest")]
+mod book;
+
+use std::time::Duration;
+
+use book::{Broken, Execution};
+use rstest::rstest;
+
+const fn run(host: usize, key: usize, operation: u64, [begin, end]: [u64; 2]) -> Execution {
+    Execution {
+        host,
+        pool: 0,
+        key,
+        shard: 0,
+        epoch: 1,
+        operation,
+        attempt: operation,
+        once: true,
+        begin: Duration::from_millis(begin),
+        end: Some(Duration::from_millis(end)),
+        completed: true,
+    }
+}
+
+const fn unfinished(mut run: Execution) -> Execution {
+    run.end = None;
+    run
+}
+
+/// Guards against a checker that misses two owners of a key, or takes another
+/// key, another time or the same target for one.
+#[rstest]
+#[case::one_after_the_other(vec![run(0, 1, 1, [0, 10]), run(1, 1, 2, [10, 20])], 0)]
+#[case::overlap(vec![run(0, 1, 1, [0, 11]), run(1, 1, 2, [10, 20])], 1)]
+#[case::overlap_noted_later(vec![run(1, 1, 2, [10, 20]), run(0, 1, 1, [0, 11])], 1)]
+#[case::long_one_under_short_ones(
+    vec![run(0, 1, 1, [0, 90]), run(0, 1, 2, [5, 10]), run(1, 1, 3, [50, 60])],
+    1
+)]
+#[case::still_running(vec![unfinished(run(0, 1, 1, [0, 0])), run(1, 1, 2, [50, 60])], 1)]
+#[case::same_target(vec![run(0, 1, 1, [0, 11]), run(0, 1, 2, [10, 20])], 0)]
+#[case::other_key(vec![run(0, 1, 1, [0, 11]), run(1, 2, 2, [10, 20])], 0)]
+fn overlapping_executions_on_two_targets_are_found(
+    #[case] executions: Vec<Execution>,
+    #[case] expected: usize,
+) {
+    let mut broken = Broken::default();
+
+    broken.overlaps(&executions, Duration::from_secs(1));
+
+    assert_eq!(broken.two_owners, expected, "{:?}", broken.samples);
+    assert_eq!(broken.total(), expected);
+}
+
+/// Guards against a checker that misses an at-most-once operation that ran
+/// twice, or counts a repeated read.
+#[rstest]
+#[case::different(vec![run(0, 1, 1, [0, 1]), run(0, 1, 2, [2, 3])], 0)]
+#[case::twice(vec![run(0, 1, 1, [0, 1]), run(1, 1, 1, [20, 30])], 1)]
+#[case::read(
+    vec![
+        Execution { once: false, ..run(0, 1, 1, [0, 1]) },
+        Execution { once: false, ..run(0, 1, 1, [2, 3]) },
+    ],
+    0
+)]
+fn operations_that_ran_twice_are_found(
+    #[case] executions: Vec<Execution>,
+    #[case] expected: usize,
+) {
+    let mut broken = Broken::default();
+
+    broken.repeats(&executions);
+
+    assert_eq!(broken.executed_twice, expected, "{:?}", broken.samples);
+}
