Write the control log in the order of its steps

Their outputs were carried out before those that were left from earlier steps, so the log on disk got entry 6 after entry 3 and the replica gave up its storage for good. They now follow.

Every test now fails when a replica has given up its storage.

--- a/tests/change.rs
+++ b/tests/change.rs
@@ -145,5 +145,5 @@
     }
 
     eprintln!("in force after {took:?}");
-    fleet.check();
+    fleet.check().await;
 }
--- a/tests/loss.rs
+++ b/tests/loss.rs
@@ -90,7 +90,7 @@
     restore(&mut fleet, fault, start).await;
 
     load.stop().await;
-    fleet.check();
+    fleet.check().await;
     eprintln!("served again after {took:?}");
     assert_within(took, bound, &fault);
 }
@@ -156,7 +156,7 @@
         fleet.call(VICTIM, ask.clone()).await;
     }
 
-    fleet.check();
+    fleet.check().await;
 }
 
 /// Guards against keys that depend on the control leader: those of other
@@ -187,7 +187,7 @@
     }
     let took = start.elapsed();
 
-    fleet.check();
+    fleet.check().await;
     assert!(
         refused.is_empty(),
         "{} refused: {refused:#?}",
@@ -218,7 +218,7 @@
     short.stop().await;
     long.stop().await;
 
-    fleet.check();
+    fleet.check().await;
     let calls = fleet.calls.all();
     let cut = support::check::cut(&calls);
     assert!(cut.is_empty(), "{} requests were cut: {cut:#?}", cut.len());
--- a/tests/partition.rs
+++ b/tests/partition.rs
@@ -79,7 +79,7 @@
     fleet.in_force(2, IN_FORCE).await;
 
     load.stop().await;
-    fleet.check();
+    fleet.check().await;
     assert_eq!(change.status, 200, "{}", change.text());
     assert_eq!(fleet.leader(3).await, leader, "the leader changed");
 }
@@ -129,7 +129,7 @@
     fleet.ready().await;
 
     load.stop().await;
-    fleet.check();
+    fleet.check().await;
     eprintln!("served again after {took:?}");
     assert_within(took, SERVED + elected, &lost);
 }
@@ -160,7 +160,7 @@
     fleet.ready().await;
 
     load.stop().await;
-    fleet.check();
+    fleet.check().await;
 }
 
 /// What happens to the connections that exist. New ones work.
@@ -232,7 +232,7 @@
         ended.push(call.await.unwrap());
     }
 
-    fleet.check();
+    fleet.check().await;
     // Silence of 1 s, and work that may be repeated runs again.
     let bound = SERVED + work + work;
     for call in ended {
@@ -292,7 +292,7 @@
 
     load.stop().await;
     aside.stop().await;
-    fleet.check();
+    fleet.check().await;
 }
 
 /// Guards against wrong answers and lost leases on a bad network: delays that
@@ -313,7 +313,7 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
     load.stop().await;
 
-    fleet.check();
+    fleet.check().await;
     let calls = fleet.calls.all();
     let served = calls.iter().filter(|call| call.served()).count();
     assert!(
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -65,7 +65,7 @@
     load.stop().await;
 
     assert_eq!(answer.status, 204, "{}", answer.text());
-    fleet.check();
+    fleet.check().await;
     let runs = fleet.hosts[VICTIM].target.executions();
     let late = runs.iter().filter(|run| run.start > start + LEAVING);
     assert_eq!(late.count(), 0, "late work of {} runs", runs.len());
@@ -122,7 +122,7 @@
     within(PATIENCE, "a new booking", more).await;
 
     eprintln!("replaced after {took:?}");
-    fleet.check();
+    fleet.check().await;
 }
 
 /// What is wrong with a target that says it is healthy.
@@ -174,7 +174,7 @@
     load.stop().await;
     liar.abort();
 
-    fleet.check();
+    fleet.check().await;
     eprintln!("served again after {took:?}");
     support::assert_within(took, bound, &failure);
 }
@@ -201,7 +201,7 @@
     within(IN_FORCE, "work at the target", again).await;
     load.stop().await;
 
-    fleet.check();
+    fleet.check().await;
 }
 
 /// Bytes for the peer port, after the handshake when `inside`.
@@ -272,7 +272,7 @@
     let status = fleet.status(0).await.unwrap();
     load.stop().await;
 
-    fleet.check();
+    fleet.check().await;
     assert_eq!(
         (&status["lease"], &status["current"]),
         (&true.into(), &true.into())
@@ -343,7 +343,7 @@
     }
     load.stop().await;
 
-    fleet.check();
+    fleet.check().await;
     let executions = fleet.executions();
     let halves = ["half", "two"].map(|key| Some(key.to_owned()));
     let ran = executions
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -101,7 +101,7 @@
     pub client: Client,
     pub seed: u64,
     options: Options,
-    _data: TempDir,
+    data: TempDir,
     _turn: MutexGuard<'static, ()>,
 }
 
@@ -128,7 +128,7 @@
             client: Client::new(),
             seed,
             options,
-            _data: data,
+            data,
             _turn: turn,
         };
         for number in 0..fleet.hosts.len() {
@@ -335,12 +335,29 @@
         }
     }
 
+    /// Fails the test when the records show a violation, or a control replica
+    /// has given up its storage.
+    pub async fn check(&self) {
+        for (number, host) in self.hosts.iter().enumerate() {
+            if host.process.is_some() {
+                let health = self.get(number, "/v1/health").await.unwrap_or_default();
+                assert_ne!(health["storage_failed"], true, "at {}", host.name);
+            }
+        }
+        self.check_records();
+    }
+
     /// Fails the test when the records show a violation.
-    pub fn check(&self) {
+    pub fn check_records(&self) {
         let found = check::violations(&self.executions(), &self.calls.all(), !self.options.fencing);
         assert!(found.is_empty(), "{} violations: {found:#?}", found.len());
     }
 
+    /// The data directory of a control replica.
+    pub fn data(&self, number: usize) -> PathBuf {
+        self.data.path().join(&self.hosts[number].name)
+    }
+
     /// What every target ran.
     pub fn executions(&self) -> Vec<check::Ran> {
         let hosts = self.hosts.iter().enumerate();
--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -1,7 +1,7 @@
 //! The thread of the replica.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     path::PathBuf,
     sync::{Arc, RwLock, mpsc},
     thread,
@@ -159,7 +159,8 @@
             self.raft.batch(now, steps, &mut outputs);
             self.execute(outputs);
             self.plan(now, planner::Event::Tick, &mut commands);
-            self.propose_planned(commands);
+            let outputs = self.propose_planned(commands);
+            self.execute(outputs);
             self.publish();
         }
     }
@@ -199,24 +200,27 @@
         }
     }
 
-    fn propose_planned(&mut self, commands: Vec<Command>) {
-        if commands.is_empty() {
-            return;
-        }
+    fn propose_planned(&mut self, commands: Vec<Command>) -> Vec<Output> {
         let mut steps = Vec::new();
         for command in commands {
             log(&command);
             steps.push(self.proposal(&command, None));
         }
         let mut outputs = Vec::new();
-        self.raft.batch(self.clock.now(), steps, &mut outputs);
-        self.execute(outputs);
+        if !steps.is_empty() {
+            self.raft.batch(self.clock.now(), steps, &mut outputs);
+        }
+        outputs
     }
 
     /// Carries out outputs in order. After a failed write the rest is dropped,
     /// since it may promise what is not on disk.
+    ///
+    /// Applying entries takes further steps. Their outputs follow those that
+    /// are left from earlier steps: the log on disk accepts no gap.
     fn execute(&mut self, outputs: Vec<Output>) {
-        for output in outputs {
+        let mut queue = VecDeque::from(outputs);
+        while let Some(output) = queue.pop_front() {
             match output {
                 Output::Persist(change) => {
                     if let Err(error) = self.storage.persist(&change) {
@@ -231,7 +235,7 @@
                         let _ = outbox.try_send(message);
                     }
                 }
-                Output::Apply(entries) => self.apply(&entries),
+                Output::Apply(entries) => queue.extend(self.apply(&entries)),
                 Output::Restore(snapshot) => self.restore(&snapshot),
                 Output::Committed { ticket, index } => self.committed(ticket, index),
                 Output::Dropped {
@@ -280,7 +284,9 @@
         }
     }
 
-    fn apply(&mut self, entries: &[Entry]) {
+    /// Applies entries and returns the outputs of the steps that follow.
+    fn apply(&mut self, entries: &[Entry]) -> Vec<Output> {
+        let mut outputs = Vec::new();
         let mut board = write(&self.board);
         for entry in entries {
             if let Payload::Data(data) = &entry.payload
@@ -300,7 +306,7 @@
         self.commit.send_replace(applied);
         if let Some(data) = data {
             self.snapshot = applied;
-            self.compact(applied, data);
+            self.compact(applied, data, &mut outputs);
         }
         if self.lead_from.is_some_and(|from| applied >= from) {
             self.lead_from = None;
@@ -312,18 +318,17 @@
                 commands.push(Command::Configure { config });
             }
             self.plan(self.clock.now(), planner::Event::Lead, &mut commands);
-            self.propose_planned(commands);
+            outputs.extend(self.propose_planned(commands));
         }
+        outputs
     }
 
-    fn compact(&mut self, index: Index, data: Vec<u8>) {
-        let mut outputs = Vec::new();
+    fn compact(&mut self, index: Index, data: Vec<u8>, outputs: &mut Vec<Output>) {
         let input = RaftInput::Compact {
             index,
             data: data.into(),
         };
-        self.raft.step(self.clock.now(), input, &mut outputs);
-        self.execute(outputs);
+        self.raft.step(self.clock.now(), input, outputs);
         info!(event = "snapshot", index = index.get());
     }
 
