End the subscriptions at a replica whose storage has failed

Such a replica applies no more entries but went on sending signs of life, so the nodes that followed it learned of no change until an operator came.

The test lets a follower fail to write a vote.

--- a/tests/loss.rs
+++ b/tests/loss.rs
@@ -8,7 +8,7 @@
 use support::{
     assert_within,
     calls::{Ask, Call},
-    fleet::{Fleet, Options},
+    fleet::{Fleet, Options, RULES},
     within,
 };
 
@@ -224,3 +224,37 @@
     assert!(cut.is_empty(), "{} requests were cut: {cut:#?}", cut.len());
     assert!(status.success(), "{status}");
 }
+
+/// Guards against nodes that follow a control replica whose storage has failed
+/// and learn of no change any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_without_storage_keeps_no_node_behind() {
+    let fleet = Fleet::start(Options::default()).await;
+    let leader = fleet.leader(VICTIM).await;
+    let failing = (leader + 1) % 3;
+    let load = fleet.load(&[3, VICTIM], 4, Duration::from_millis(10));
+
+    // Its next vote cannot be written. The pause makes the others vote.
+    std::fs::remove_dir_all(fleet.data(failing)).unwrap();
+    fleet.process(leader).pause();
+    let failed = || async {
+        let health = fleet.get(failing, "/v1/health").await?;
+        (health["storage_failed"] == true)
+            .then_some(())
+            .ok_or(health.to_string())
+    };
+    within(PATIENCE, "a failed storage", failed).await;
+    fleet.process(leader).resume();
+    let start = Instant::now();
+    let change = || async {
+        let answer = fleet.change(VICTIM, "megan", "later", 1, RULES).await;
+        (answer.status == 200).then_some(()).ok_or(answer.text())
+    };
+    within(PATIENCE, "an accepted change", change).await;
+    fleet.in_force(2, Duration::from_secs(5)).await;
+    fleet.ready().await;
+
+    eprintln!("in force after {:?}", start.elapsed());
+    load.stop().await;
+    fleet.check_records();
+}
--- a/wisteriaglade-node/src/subscription.rs
+++ b/wisteriaglade-node/src/subscription.rs
@@ -103,7 +103,9 @@
 ) -> wisteriaglade_wire::Result<()> {
     let mut next = from;
     let mut commit = replica.commit.clone();
-    loop {
+    // A replica whose storage has failed takes no more entries, so that its
+    // subscribers have to follow another one.
+    while !read(&replica.board).failed {
         let committed = *commit.borrow_and_update();
         while next <= committed {
             next = send(replica, writer, next).await?;
@@ -114,6 +116,7 @@
             Err(_) => writer.send(&Message::Ping).await?,
         }
     }
+    Ok(())
 }
 
 /// Sends entries, or a snapshot when they are compacted, and returns the index
