Leave a replica that brings nothing while others are ahead

A node learned only after 1 s of silence that the host of the replica it follows was lost, so the keys of that host were served again too late. And a node that followed a replica which was cut off from the others, but not from the node, followed it for good.

The data centre to cut off is now chosen by its role.

--- a/tests/partition.rs
+++ b/tests/partition.rs
@@ -84,25 +84,65 @@
     assert_eq!(fleet.leader(3).await, leader, "the leader changed");
 }
 
+/// Guards against nodes that follow a replica which hears of no change itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_cut_off_from_the_others_keeps_no_node_behind() {
+    let fleet = fleet().await;
+    let leader = fleet.leader(3).await;
+    let follower = (leader + 1) % 3;
+    let others: Vec<usize> = (0..3).filter(|&host| host != follower).collect();
+    let key = fleet.keys_of(3, 1).await.remove(0);
+
+    fleet.net.between(&[follower], &others, SILENT);
+    let change = fleet.change(leader, "megan", "during", 1, RULES).await;
+    let known = || async {
+        for via in [3, 4, leader] {
+            let rules = fleet.get(via, "/v1/rules").await?;
+            if rules["version"] != 2 {
+                return Err(format!("{via}: {}", rules["version"]));
+            }
+            fleet.call(via, Ask::read(&key)).await.expect()?;
+        }
+        Ok(())
+    };
+    within(IN_FORCE, "the change at the nodes", known).await;
+    fleet.net.between(&[follower], &others, NO_FAULT);
+    fleet.ready().await;
+
+    fleet.check().await;
+    assert_eq!(change.status, 200, "{}", change.text());
+}
+
+/// Which data centre is cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Centre {
+    OfTheLeader,
+    OfAFollower,
+    WithoutReplica,
+}
+
 /// Guards against keys and records that depend on one data centre.
 #[rstest]
-#[case::with_a_replica(&[0], CUT)]
-#[case::silently(&[0], SILENT)]
-#[case::two_hosts(&[3, 4], CUT)]
-#[case::two_hosts_silently(&[3, 4], SILENT)]
+#[case::of_a_follower(Centre::OfAFollower, CUT)]
+#[case::of_a_follower_silently(Centre::OfAFollower, SILENT)]
+#[case::of_the_leader_silently(Centre::OfTheLeader, SILENT)]
+#[case::two_hosts(Centre::WithoutReplica, CUT)]
+#[case::two_hosts_silently(Centre::WithoutReplica, SILENT)]
 #[tokio::test(flavor = "multi_thread")]
 async fn the_keys_and_records_of_a_lost_data_centre_survive(
-    #[case] lost: &'static [usize],
+    #[case] centre: Centre,
     #[case] rule: Rule,
 ) {
     let fleet = fleet().await;
-    let elected = if lost.contains(&fleet.leader(1).await) {
-        ELECTION
-    } else {
-        Duration::ZERO
+    let leader = fleet.leader(3).await;
+    let (lost, bound) = match centre {
+        Centre::OfTheLeader => (vec![leader], SERVED + ELECTION),
+        Centre::OfAFollower => (vec![(leader + 1) % 3], SERVED),
+        Centre::WithoutReplica => (vec![3, 4], SERVED),
     };
+    let others: Vec<usize> = (0..5).filter(|host| !lost.contains(host)).collect();
     let mut keys = Vec::new();
-    for &host in lost {
+    for &host in &lost {
         keys.extend(fleet.keys_of(host, 4).await);
     }
     let books: Vec<Ask> = keys
@@ -110,28 +150,28 @@
         .map(|key| Ask::book(key, &format!("before-{key}")))
         .collect();
     for ask in &books {
-        fleet.call(1, ask.clone()).await.expect().unwrap();
+        fleet.call(others[0], ask.clone()).await.expect().unwrap();
     }
-    let load = fleet.load(&[1, 2], 6, Duration::from_millis(10));
+    let load = fleet.load(&others, 6, Duration::from_millis(10));
 
-    fleet.isolate(lost, rule);
+    fleet.isolate(&lost, rule);
     let start = Instant::now();
     for key in &keys {
-        let look = || async { fleet.call(1, Ask::read(key)).await.expect() };
+        let look = || async { fleet.call(others[0], Ask::read(key)).await.expect() };
         within(PATIENCE, "a served key", look).await;
     }
     let took = start.elapsed();
     for ask in &books {
-        let look = || async { fleet.call(2, ask.clone()).await.expect() };
+        let look = || async { fleet.call(others[1], ask.clone()).await.expect() };
         within(PATIENCE, "a replayed booking", look).await;
     }
-    fleet.isolate(lost, NO_FAULT);
+    fleet.isolate(&lost, NO_FAULT);
     fleet.ready().await;
 
     load.stop().await;
     fleet.check().await;
     eprintln!("served again after {took:?}");
-    assert_within(took, SERVED + elected, &lost);
+    assert_within(took, bound, &centre);
 }
 
 /// Guards against a node that keeps callers waiting, or runs work, when it
--- a/wisteriaglade-node/src/context.rs
+++ b/wisteriaglade-node/src/context.rs
@@ -98,6 +98,15 @@
         lease.current(now)
     }
 
+    /// Whether an index that a majority named longer than `limit` ago has not
+    /// been applied here.
+    pub(crate) fn behind(&self, limit: Duration) -> bool {
+        let now = self.clock.now();
+        let mut lease = lock(&self.lease);
+        lease.applied(read(&self.view).applied);
+        lease.behind(now, limit)
+    }
+
     /// Whether this process may dispatch for its shards now.
     pub(crate) fn holds_lease(&self) -> bool {
         lock(&self.lease).held(self.clock.now())
--- a/wisteriaglade-node/src/lease.rs
+++ b/wisteriaglade-node/src/lease.rs
@@ -102,6 +102,12 @@
         }
     }
 
+    /// Whether an index that was named before `now - limit` is not applied.
+    pub(crate) fn behind(&self, now: Duration, limit: Duration) -> bool {
+        let oldest = self.required.front();
+        oldest.is_some_and(|&(sent, _)| now > sent + limit)
+    }
+
     /// Gives up the lease, for a node that has been fenced.
     pub(crate) fn clear(&mut self) {
         self.rounds.clear();
--- a/wisteriaglade-node/src/subscription.rs
+++ b/wisteriaglade-node/src/subscription.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, interval, sleep, timeout};
 use tracing::{debug, info};
 use wisteriaglade_consensus::Entry;
 use wisteriaglade_control::State;
@@ -16,6 +16,9 @@
 /// The interval of the signs of life on an idle subscription.
 pub(crate) const PING: Duration = Duration::from_millis(250);
 
+/// The interval of the looks whether a subscription is behind.
+const LOOK: Duration = Duration::from_millis(50);
+
 /// Committed entries in one message.
 const BATCH: usize = 128;
 
@@ -52,10 +55,12 @@
     link.send(&Message::Subscribe { from }).await?;
     let mut snapshot = Vec::new();
     let mut counted = 0;
+    let mut progress = Instant::now();
     loop {
-        let message = timeout(context.settings.timing.silence, link.recv::<Message>())
-            .await
-            .map_err(|_| pool::Error::Timeout)??;
+        let message = receive(context, &mut link, progress).await?;
+        if !matches!(message, Message::Ping) {
+            progress = Instant::now();
+        }
         context.metrics.control(link.received() - counted);
         counted = link.received();
         match message {
@@ -73,6 +78,30 @@
     }
 }
 
+/// Waits for a message. Gives up after a silence, and earlier when this node is
+/// behind the other replicas and this one brings nothing: its host may have
+/// been lost, and keys must be served again sooner than a silence is noticed.
+async fn receive(
+    context: &Context,
+    link: &mut pool::Link,
+    progress: Instant,
+) -> pool::Result<Message> {
+    let timing = &context.settings.timing;
+    let message = timeout(timing.silence, link.recv::<Message>());
+    tokio::pin!(message);
+    let mut look = interval(LOOK);
+    loop {
+        tokio::select! {
+            message = &mut message => return Ok(message.map_err(|_| pool::Error::Timeout)??),
+            _ = look.tick() => {
+                if progress.elapsed() > timing.accept && context.behind(timing.accept) {
+                    return Err(pool::Error::Timeout);
+                }
+            }
+        }
+    }
+}
+
 fn apply(context: &Context, entries: &[Entry]) {
     let mut view = write(&context.view);
     view.apply(entries);
