--- a/wisteriaglade-node/src/sample.rs
+++ b/wisteriaglade-node/src/sample.rs
@@ -183,20 +183,27 @@
             clock: crate::clock::Clock::new(),
             outbox: std::collections::HashMap::new(),
         })?;
-        let deadline = std::time::Instant::now() + Duration::from_secs(5);
-        while !crate::read(&handle.board).leading && std::time::Instant::now() < deadline {
-            tokio::time::sleep(Duration::from_millis(10)).await;
+        // The planner begins to lead with the first applied command. Until then
+        // commands are sent one at a time.
+        let mut nodes = Vec::new();
+        let mut joins = joins.into_iter();
+        while !crate::read(&handle.board).leading {
+            let Some(join) = joins.next() else { break };
+            nodes.push(handle.propose(join).await);
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        let proposals = joins.into_iter().map(|command| {
+        let proposals = joins.map(|command| {
             let handle = handle.clone();
             tokio::spawn(async move { handle.propose(command).await })
         });
-        let mut nodes = Vec::new();
         for proposal in proposals.collect::<Vec<_>>() {
-            if let Proposed::Applied(Reply::Joined(node)) = proposal.await? {
-                nodes.push(node);
-            }
+            nodes.push(proposal.await?);
         }
+        let nodes = nodes.into_iter().filter_map(|outcome| match outcome {
+            Proposed::Applied(Reply::Joined(node)) => Some(node),
+            _ => None,
+        });
+        let nodes = nodes.collect();
         Ok((Self { handle }, nodes))
     }
 
