Look at the nodes at most every 5 ms in the leader's thread

Each wake-up of the thread ended with a tick of the planner, which walks all nodes: 254 us at 3,600. The renewals of 3,600 nodes wake it thousands of times a second. The planner now looks at most every 5 ms, below the 10 ms that an idle thread waits in any case.

--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -26,6 +26,10 @@
 /// The longest wait for an input. Consensus timers have a resolution of this.
 const TICK: Duration = Duration::from_millis(10);
 
+/// The least time between two looks of the planner. A look walks all nodes, and
+/// the renewals of 3,600 nodes wake the thread thousands of times a second.
+const LOOK: Duration = Duration::from_millis(5);
+
 /// Inputs that are handled before the board is published again.
 const BATCH: usize = 256;
 
@@ -68,6 +72,8 @@
     /// The planner is told to lead once the first entry of the term is applied.
     lead_from: Option<Index>,
     leading: bool,
+    /// When the planner looked last.
+    looked: Duration,
 }
 
 /// A proposal that waits for its commit; the planner's have no receiver.
@@ -122,6 +128,7 @@
         snapshot: applied,
         lead_from: None,
         leading: false,
+        looked: Duration::ZERO,
     };
     thread::Builder::new()
         .name("control-replica".to_owned())
@@ -155,7 +162,10 @@
             let now = self.clock.now();
             self.raft.step(now, RaftInput::Tick, &mut outputs);
             self.execute(outputs);
-            self.plan(now, planner::Event::Tick, &mut commands);
+            if now.saturating_sub(self.looked) >= LOOK {
+                self.looked = now;
+                self.plan(now, planner::Event::Tick, &mut commands);
+            }
             self.propose_planned(commands);
             self.publish();
         }
