--- a/wisteriaglade-once/tests/once/steps.rs
+++ b/wisteriaglade-once/tests/once/steps.rs
@@ -253,9 +253,11 @@
     assert_eq!(outcome(&world, request), Some(&Final::Refuse(reason)));
 }
 
-/// Guards against a new holder without room that is proposed nevertheless.
+/// Guards against new holders that have no room, and against the return of an
+/// earlier set: a late repetition of its proposal would be valid again, without the
+/// records since.
 #[test]
-fn a_full_host_does_not_become_a_holder() {
+fn holders_are_replaced_only_by_sets_that_can_take_over() {
     let mut world = World::quiet(0);
     begin(&mut world, 0);
     world.run(100);
@@ -263,12 +265,12 @@
     let config = holder::Config::default();
     world.hosts[4].holder = Holder::new(holder::Config { memory, ..config });
 
-    world.propose(Shard::new(0), nodes(SECOND));
-    world.run(3000);
-    assert_eq!(world.table[&Shard::new(0)].holders, nodes(FIRST));
-    world.propose(Shard::new(0), nodes([5, 2, 3]));
-    world.run(100);
-    assert_eq!(world.table[&Shard::new(0)].holders, nodes([5, 2, 3]));
+    let third = [5, 2, 3];
+    for (proposed, taken) in [(SECOND, FIRST), (third, third), (FIRST, third)] {
+        world.propose(Shard::new(0), nodes(proposed));
+        world.run(2000);
+        assert_eq!(world.table[&Shard::new(0)].holders, nodes(taken));
+    }
 }
 
 /// Guards against a second run when the owner forgets an outcome before the holders.
@@ -292,14 +294,50 @@
     assert!(matches!(outcome, Some(Final::Replay(_))), "{outcome:?}");
 }
 
-/// Guards against the return of an earlier set in the same epoch: a late repetition
-/// of the first proposal would be valid again, without the records since.
+/// Guards against a new pool whose shards, without holders at first, never get ready
+/// or run something that no holder knows.
 #[test]
-fn an_earlier_set_of_holders_does_not_return() {
+fn the_first_holders_come_by_a_replacement() {
     let mut world = World::quiet(0);
-    for set in [SECOND, FIRST] {
-        world.propose(Shard::new(0), nodes(set));
-        world.run(2000);
-    }
-    assert_eq!(world.table[&Shard::new(0)].holders, nodes(SECOND));
+    world.assign(Shard::new(0), 5, Vec::new());
+    world.run(15);
+    let request = begin(&mut world, 5);
+    world.run(500);
+    assert!(!world.oracle.has_run(&key()));
+
+    world.propose(Shard::new(0), nodes(FIRST));
+    world.run(200);
+
+    assert_eq!(world.table[&Shard::new(0)].holders, nodes(FIRST));
+    let outcome = outcome(&world, request);
+    assert!(
+        matches!(outcome, Some(Final::Acknowledge(_))),
+        "{outcome:?}"
+    );
+}
+
+/// Guards against a record without room that holds back an end with reserved room.
+#[test]
+fn a_record_without_room_does_not_hold_back_others() {
+    let mut world = World::quiet(0);
+    let memory = 22_000;
+    let config = holder::Config::default();
+    world.hosts[3].holder = Holder::new(holder::Config { memory, ..config });
+    let [early, late] = [1, 2].map(|id| make::key(key().hash, id));
+
+    // The start of the late key takes the room; its end and the start of the early
+    // key, which comes before it in a copy, do not arrive.
+    world.length = 100..101;
+    world.begin(late, false, Some(0), 2000);
+    world.run(50);
+    world.cut.insert(3);
+    world.length = 60_000..60_001;
+    world.begin(early, false, Some(0), 2000);
+    world.run(200);
+    assert_eq!(world.hosts[3].holder.len(), 1);
+
+    world.cut.clear();
+    world.run(3000);
+
+    assert_eq!(world.hosts[3].holder.len(), 2);
 }
