--- a/wisteriaglade-control/tests/loss.rs
+++ b/wisteriaglade-control/tests/loss.rs
@@ -193,14 +193,17 @@
 #[test]
 fn the_wait_counts_from_the_last_acknowledged_renewal() {
     let (mut driver, lost) = lossy(true, &[2_000]);
-    let last = driver.renewals[&lost];
+    let renewal = driver.renewals[&lost];
     while driver.times(is_fence).is_empty() {
         driver.run(ms(10));
     }
 
-    driver.event(Event::Ceased { node: lost, last });
+    driver.event(Event::Ceased {
+        node: lost,
+        last: renewal,
+    });
     driver.run(ms(1_000));
 
-    let waited = driver.times(is_assign)[0].saturating_sub(last);
+    let waited = driver.times(is_assign)[0].saturating_sub(renewal);
     assert!(waited >= ms(408) && waited <= ms(438), "{waited:?}");
 }
--- a/wisteriaglade-node/src/subscription.rs
+++ b/wisteriaglade-node/src/subscription.rs
@@ -13,20 +13,35 @@
 /// The pause before another replica is tried.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// The interval of the looks at whether the subscription is late.
-const LOOK: Duration = Duration::from_millis(20);
-
 /// The interval of the signs of life on an idle subscription.
 pub(crate) const PING: Duration = Duration::from_millis(250);
 
 /// The interval of the looks whether a subscription is behind.
-const LOOK: Duration = Duration::from_millis(50);
+const LOOK: Duration = Duration::from_millis(20);
+
+/// How long a subscription may bring nothing while replicas name an index that
+/// is missing here. A piece of a snapshot takes less on a slow network.
+const QUIET: Duration = Duration::from_millis(100);
 
 /// Committed entries in one message.
 const BATCH: usize = 128;
 
 /// The size of a piece of a snapshot, below the limit of a frame.
-const PIECE: usize = 256 * 1024;
+const PIECE: usize = 64 * 1024;
+
+/// Why a subscription ended.
+enum End {
+    /// The connection failed or fell silent.
+    Lost(pool::Error),
+    /// It brings nothing, and this replica is ahead.
+    Behind(u64),
+}
+
+impl<E: Into<pool::Error>> From<E> for End {
+    fn from(error: E) -> Self {
+        Self::Lost(error.into())
+    }
+}
 
 /// Follows one replica after another until the process ends.
 ///
@@ -38,45 +53,27 @@
     let mut next = start.get() as usize;
     while !context.shutdown.is_cancelled() {
         let replica = &replicas[next % replicas.len()];
-        tokio::select! {
+        let end = tokio::select! {
             () = context.shutdown.cancelled() => return,
-            ahead = behind(&context) => {
-                // Something is wrong with this subscription, and the replica
-                // that is ahead answers.
+            end = subscribe(&context, replica.peer) => end,
+        };
+        match end {
+            Ok(()) => next += 1,
+            Err(End::Lost(error)) => {
+                debug!(event = "subscription-lost", replica = replica.id, error = %error);
+                next += 1;
+                sleep(PAUSE).await;
+            }
+            Err(End::Behind(ahead)) => {
                 debug!(event = "subscription-late", replica = replica.id, ahead);
                 let ahead = replicas.iter().position(|other| other.id == ahead);
                 next = ahead.unwrap_or(next + 1);
             }
-            outcome = subscribe(&context, replica.peer) => {
-                if let Err(error) = outcome {
-                    debug!(event = "subscription-lost", replica = replica.id, error = %error);
-                }
-                next += 1;
-                sleep(PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Waits until a replica names an index in its answers to renewals that does
-/// not arrive here, and returns that replica.
-///
-/// A silent connection to a lost replica would show only after
-/// `timing.silence`, and the keys of the lost host would be unavailable at this
-/// node until then.
-async fn behind(context: &Context) -> u64 {
-    // A new subscription has time to deliver first.
-    sleep(PAUSE).await;
-    loop {
-        let (now, applied) = (context.clock.now(), read(&context.view).applied);
-        if let Some(replica) = lock(&context.lease).ahead(now, applied) {
-            return replica;
         }
-        sleep(LOOK).await;
     }
 }
 
-async fn subscribe(context: &Context, peer: std::net::SocketAddr) -> pool::Result<()> {
+async fn subscribe(context: &Context, peer: std::net::SocketAddr) -> Result<(), End> {
     let mut link = context.pool.open(peer).await?;
     let from = read(&context.view).applied.next();
     link.send(&Message::Subscribe { from }).await?;
@@ -100,7 +97,7 @@
                 }
             }
             Message::Ping => {}
-            _ => return Err(pool::Error::Timeout),
+            _ => return Ok(()),
         }
     }
 }
@@ -112,17 +109,20 @@
     context: &Context,
     link: &mut pool::Link,
     progress: Instant,
-) -> pool::Result<Message> {
-    let timing = &context.settings.timing;
-    let message = timeout(timing.silence, link.recv::<Message>());
+) -> Result<Message, End> {
+    let message = timeout(context.settings.timing.silence, link.recv::<Message>());
     tokio::pin!(message);
     let mut look = interval(LOOK);
     loop {
         tokio::select! {
             message = &mut message => return Ok(message.map_err(|_| pool::Error::Timeout)??),
             _ = look.tick() => {
-                if progress.elapsed() > timing.accept && context.behind(timing.accept) {
-                    return Err(pool::Error::Timeout);
+                if progress.elapsed() < QUIET {
+                    continue;
+                }
+                let (now, applied) = (context.clock.now(), read(&context.view).applied);
+                if let Some(ahead) = lock(&context.lease).ahead(now, applied) {
+                    return Err(End::Behind(ahead));
                 }
             }
         }
