Do not count refusals for a moved shard against the retry budget

A node that had applied more of the control log than the caller's node refused with moved, and 58 requests of a peak ended with it after the loss of a data centre, because the budget was used up. Such an attempt adds no work at the owner's node.

--- a/wisteriaglade-node/src/ingress.rs
+++ b/wisteriaglade-node/src/ingress.rs
@@ -209,12 +209,13 @@
         // A new owner is tried at once. The same one is tried again after a
         // pause and within the budget of the member, so that retries do not
         // multiply the load of a node in trouble. An attempt that did not
-        // reach the node adds no work there: counted against the budget, it
-        // made up to an eighth of the requests of a peak fail while lost hosts
-        // were replaced.
-        let absent = refusal.reason == Reason::Unreachable;
+        // reach the node, or that it refused because its state of the shard
+        // differs, adds no work there: counted against the budget, such
+        // attempts made up to an eighth of the requests of a peak fail while
+        // lost hosts were replaced.
+        let free = matches!(refusal.reason, Reason::Unreachable | Reason::Moved);
         if !moved(context, ingress, &place, pause).await
-            && !absent
+            && !free
             && !lock(&context.budget).retry(context.clock.now(), &member)
         {
             return Err(conclude(earlier, refusal.after(BEHIND)));
