--- a/wisteriaglade-node/src/context.rs
+++ b/wisteriaglade-node/src/context.rs
@@ -98,15 +98,6 @@
         lease.current(now)
     }
 
-    /// Whether an index that a majority named longer than `limit` ago has not
-    /// been applied here.
-    pub(crate) fn behind(&self, limit: Duration) -> bool {
-        let now = self.clock.now();
-        let mut lease = lock(&self.lease);
-        lease.applied(read(&self.view).applied);
-        lease.behind(now, limit)
-    }
-
     /// Whether this process may dispatch for its shards now.
     pub(crate) fn holds_lease(&self) -> bool {
         lock(&self.lease).held(self.clock.now())
@@ -155,6 +146,10 @@
         });
         metrics.shards.set(i64::from(held));
         metrics.lease.set(i64::from(self.holds_lease()));
+        let summary = self
+            .admission
+            .inspect(wisteriaglade_router::Router::summary);
+        metrics.limit.set(i64::from(summary.limit));
         let view = read(&self.view);
         let signed = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
         metrics.applied.set(signed(view.applied.get()));
