--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -1,7 +1,7 @@
 //! The thread of the replica.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     path::PathBuf,
     sync::{Arc, RwLock, mpsc},
     thread,
@@ -18,7 +18,7 @@
     Command, State,
     planner::{self, Planner},
 };
-use wisteriaglade_types::Index;
+use wisteriaglade_types::{Index, Node};
 
 use super::{Board, Error, Handle, Input, Result};
 use crate::{clock::Clock, message::Proposed, read, view::decode, write};
@@ -63,6 +63,8 @@
     config: wisteriaglade_control::Config,
     outbox: HashMap<u64, tokio_mpsc::Sender<wisteriaglade_consensus::Message>>,
     board: Arc<RwLock<Board>>,
+    /// Tells which fences are applied, while this replica leads.
+    fenced: tokio_mpsc::UnboundedSender<Node>,
     commit: watch::Sender<Index>,
     ticket: u64,
     waiting: HashMap<u64, Waiting>,
@@ -80,7 +82,10 @@
 type Waiting = Option<oneshot::Sender<Proposed>>;
 
 /// Opens the data directory and starts the thread.
-pub(crate) fn start(options: Options) -> Result<Handle> {
+///
+/// The receiver gets every node whose fence is applied while this replica
+/// leads.
+pub(crate) fn start(options: Options) -> Result<(Handle, tokio_mpsc::UnboundedReceiver<Node>)> {
     let (storage, restored) = Storage::open(&options.data).map_err(Error::Storage)?;
     let state = match &restored.snapshot {
         Some(snapshot) => {
@@ -113,6 +118,7 @@
     let raft = Raft::new(config, restored, options.clock.now());
     let (commit, commits) = watch::channel(applied);
     let (inbox, inputs) = mpsc::channel();
+    let (sender, receiver) = tokio_mpsc::unbounded_channel();
     let worker = Worker {
         clock: options.clock,
         raft,
@@ -121,6 +127,7 @@
         config: options.state,
         outbox: options.outbox,
         board: Arc::clone(&board),
+        fenced: sender,
         commit,
         ticket: 0,
         waiting: HashMap::new(),
@@ -134,12 +141,14 @@
         .name("control-replica".to_owned())
         .spawn(move || worker.run(&inputs))
         .map_err(Error::Thread)?;
-    Ok(Handle {
+    let handle = Handle {
         id: options.id,
         inbox,
         board,
+        acknowledged: Arc::default(),
         commit: commits,
-    })
+    };
+    Ok((handle, receiver))
 }
 
 impl Worker {
@@ -169,7 +178,8 @@
                 self.looked = now;
                 self.plan(now, planner::Event::Tick, &mut commands);
             }
-            self.propose_planned(commands);
+            let outputs = self.propose_planned(commands);
+            self.execute(outputs);
             self.publish();
         }
     }
@@ -209,24 +219,27 @@
         }
     }
 
-    fn propose_planned(&mut self, commands: Vec<Command>) {
-        if commands.is_empty() {
-            return;
-        }
+    fn propose_planned(&mut self, commands: Vec<Command>) -> Vec<Output> {
         let mut steps = Vec::new();
         for command in commands {
             log(&command);
             steps.push(self.proposal(&command, None));
         }
         let mut outputs = Vec::new();
-        self.raft.batch(self.clock.now(), steps, &mut outputs);
-        self.execute(outputs);
+        if !steps.is_empty() {
+            self.raft.batch(self.clock.now(), steps, &mut outputs);
+        }
+        outputs
     }
 
     /// Carries out outputs in order. After a failed write the rest is dropped,
     /// since it may promise what is not on disk.
+    ///
+    /// Applying entries takes further steps. Their outputs follow those that
+    /// are left from earlier steps: the log on disk accepts no gap.
     fn execute(&mut self, outputs: Vec<Output>) {
-        for output in outputs {
+        let mut queue = VecDeque::from(outputs);
+        while let Some(output) = queue.pop_front() {
             match output {
                 Output::Persist(change) => {
                     if let Err(error) = self.storage.persist(&change) {
@@ -241,7 +254,7 @@
                         let _ = outbox.try_send(message);
                     }
                 }
-                Output::Apply(entries) => self.apply(&entries),
+                Output::Apply(entries) => queue.extend(self.apply(&entries)),
                 Output::Restore(snapshot) => self.restore(&snapshot),
                 Output::Committed { ticket, index } => self.committed(ticket, index),
                 Output::Dropped {
@@ -290,13 +303,21 @@
         }
     }
 
-    fn apply(&mut self, entries: &[Entry]) {
+    /// Applies entries and returns the outputs of the steps that follow.
+    fn apply(&mut self, entries: &[Entry]) -> Vec<Output> {
+        let mut outputs = Vec::new();
         let mut board = write(&self.board);
         for entry in entries {
             if let Payload::Data(data) = &entry.payload
                 && let Some(command) = decode(data)
             {
                 let reply = board.state.apply(entry.index, &command);
+                if let Command::Fence { node } = command
+                    && self.leading
+                {
+                    // The receiver is gone only when the process ends.
+                    let _ = self.fenced.send(node);
+                }
                 self.replies.insert(entry.index, reply);
             }
             board.applied = entry.index;
@@ -310,30 +331,34 @@
         self.commit.send_replace(applied);
         if let Some(data) = data {
             self.snapshot = applied;
-            self.compact(applied, data);
+            self.compact(applied, data, &mut outputs);
         }
         if self.lead_from.is_some_and(|from| applied >= from) {
             self.lead_from = None;
             self.leading = true;
             let mut commands = Vec::new();
+            for process in read(&self.board).state.nodes() {
+                if process.is_fenced() {
+                    let _ = self.fenced.send(process.node());
+                }
+            }
             if !read(&self.board).state.is_configured() {
                 // Proposed before any node can announce a target.
                 let config = self.config;
                 commands.push(Command::Configure { config });
             }
             self.plan(self.clock.now(), planner::Event::Lead, &mut commands);
-            self.propose_planned(commands);
+            outputs.extend(self.propose_planned(commands));
         }
+        outputs
     }
 
-    fn compact(&mut self, index: Index, data: Vec<u8>) {
-        let mut outputs = Vec::new();
+    fn compact(&mut self, index: Index, data: Vec<u8>, outputs: &mut Vec<Output>) {
         let input = RaftInput::Compact {
             index,
             data: data.into(),
         };
-        self.raft.step(self.clock.now(), input, &mut outputs);
-        self.execute(outputs);
+        self.raft.step(self.clock.now(), input, outputs);
         info!(event = "snapshot", index = index.get());
     }
 
@@ -426,7 +451,7 @@
     }
 }
 
-fn note_fences(fences: &mut BTreeMap<Index, wisteriaglade_types::Node>, entries: &[Entry]) {
+fn note_fences(fences: &mut BTreeMap<Index, Node>, entries: &[Entry]) {
     for entry in entries {
         if let Payload::Data(data) = &entry.payload
             && let Some(Command::Fence { node }) = decode(data)
--- a/wisteriaglade-node/src/sample.rs
+++ b/wisteriaglade-node/src/sample.rs
@@ -173,7 +173,7 @@
         data: std::path::PathBuf,
         joins: Vec<Command>,
     ) -> Result<(Self, Vec<Node>), Box<dyn std::error::Error>> {
-        let handle = replica::start(replica::Options {
+        let (handle, _) = replica::start(replica::Options {
             id: 1,
             members: vec![1],
             data,
