--- a/tests/change.rs
+++ b/tests/change.rs
@@ -147,3 +147,36 @@
     eprintln!("in force after {took:?}");
     fleet.check().await;
 }
+
+/// Guards against changes that are lost when every process ends at once, and
+/// against a node that cannot start because the first entries of the log exist
+/// in a snapshot only.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_process_returns_after_a_snapshot() {
+    // Above the number of entries after which a replica takes a snapshot.
+    const CHANGES: u64 = 1_100;
+    let mut fleet = Fleet::start(Options {
+        hosts: 4,
+        ..Options::default()
+    })
+    .await;
+    for version in 1..=CHANGES {
+        let id = format!("before-{version}");
+        let answer = fleet.change(0, "gwen", &id, version, &text(version)).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+
+    for host in 0..4 {
+        fleet.kill(host);
+    }
+    for host in 0..4 {
+        fleet.launch(host);
+    }
+    fleet.ready().await;
+    fleet.in_force(CHANGES + 1, IN_FORCE).await;
+
+    for node in 0..4 {
+        fleet.call(node, Ask::read("k1")).await.expect().unwrap();
+    }
+    fleet.check().await;
+}
--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -35,7 +35,7 @@
 
 /// Applied entries after which a snapshot is taken. It bounds the log on disk
 /// and the time to read it at the start.
-const SNAPSHOT: u64 = 4_096;
+const SNAPSHOT: u64 = 1_024;
 
 /// Committed entries in one answer to a subscriber.
 const READ: usize = 512;
