Serve out of order only when the queue uses half of the time, and compare like with like

Cause: the freshest request went first once the oldest had used a quarter of its time, also in queues that would have drained in time; and the concurrency limit compared service times under load with those of cheap single requests before, so that it fell to 1 to 9 of 12 slots. The threshold is now half, and service times from before a quiet second are dropped. A silent connection to the target is given up early enough for a second attempt, and a request whose key has no owner does not use up the retry budget.

Router tests: all pass unchanged. With three quarters in place of half two cases of a_peak_is_served_on_time failed (median 337 ms, bound 250 ms).

--- a/wisteriaglade-node/src/ingress.rs
+++ b/wisteriaglade-node/src/ingress.rs
@@ -216,6 +216,8 @@
         let free = matches!(refusal.reason, Reason::Unreachable | Reason::Moved);
         if !moved(context, ingress, &place, pause).await
             && !free
+            // The next attempt waits for an owner and asks nobody until then.
+            && look_up(context, ingress).is_some()
             && !lock(&context.budget).retry(context.clock.now(), &member)
         {
             return Err(conclude(earlier, refusal.after(BEHIND)));
--- a/wisteriaglade-node/src/work/dispatch.rs
+++ b/wisteriaglade-node/src/work/dispatch.rs
@@ -24,8 +24,10 @@
 const SILENT: Duration = Duration::from_secs(1);
 
 /// How many times the usual service time short work may take before its
-/// connection counts as silent.
+/// connection counts as silent: so many when there is time enough, and at
+/// least so many when the deadline leaves less.
 const UNUSUAL: u32 = 16;
+const UNUSUAL_AT_LEAST: u32 = 4;
 
 /// Sends the request and returns the start of the target's response.
 pub(super) async fn dispatch(
@@ -41,7 +43,7 @@
     let cancel = job.cancel.clone();
     let abandon = ticket.cancel.clone();
     let outcome = tokio::select! {
-        outcome = send(context, grant, request, class) => outcome,
+        outcome = send(context, grant, request, class, job.deadline) => outcome,
         () = sleep_until(deadline) => {
             ticket.finish(Finish::Cancelled);
             return Err(Refusal::unknown(Reason::Deadline, "the deadline passed during the work"));
@@ -83,6 +85,7 @@
     grant: &Grant,
     request: HttpRequest<Body>,
     class: Class,
+    deadline: Duration,
 ) -> Result<Response<Incoming>, target::Error> {
     let (client, address) = (&context.client, grant.target);
     let once = grant.rule.execution == Execution::Once;
@@ -101,7 +104,7 @@
                 outcome => outcome,
             };
         }
-        () = sleep(silence(context)), if repeat => {}
+        () = sleep(silence(context, deadline)), if repeat => {}
     }
     let second = client.send(Path::Fresh, address, spare);
     tokio::pin!(second);
@@ -117,12 +120,17 @@
     }
 }
 
-fn silence(context: &Context) -> Duration {
+/// How long a connection may be silent. Half of the time that is left stays for
+/// the second attempt.
+fn silence(context: &Context, deadline: Duration) -> Duration {
     let service = context
         .admission
         .inspect(|router| router.summary().service)
         .unwrap_or_default();
-    SILENT.max(service * UNUSUAL)
+    let half = deadline.saturating_sub(context.clock.now()) / 2;
+    SILENT
+        .max((service * UNUSUAL).min(half))
+        .max(service * UNUSUAL_AT_LEAST)
 }
 
 /// The same request again, when its body is in memory.
--- a/wisteriaglade-router/src/limit.rs
+++ b/wisteriaglade-router/src/limit.rs
@@ -15,6 +15,12 @@
 /// How much weight older service times keep after a round.
 const FADE: f64 = 0.99;
 
+/// After this time in which the limit held nothing back, the earlier service
+/// times are dropped. They come from other work, perhaps, and a comparison with
+/// those under load took cheap single requests for a sign that the target
+/// queues: the limit fell to 1 to 9 of 12 slots.
+const QUIET: Duration = Duration::from_secs(1);
+
 /// Samples that make a probe of a lower concurrency unnecessary.
 const KNOWN: f64 = 48.0;
 
@@ -28,6 +34,8 @@
     ceiling: u32,
     value: u32,
     knee: Knee,
+    /// When the limit last held work back.
+    bound: Option<Duration>,
     /// Answers that are still missing in this round.
     missing: u32,
     /// Rounds until the next probe, and the present number between probes.
@@ -47,6 +55,7 @@
             ceiling: capacity.ceiling(),
             value: capacity.slots(),
             knee: Knee::new(capacity.ceiling()),
+            bound: None,
             missing: ROUND,
             countdown: PROBES[0],
             period: PROBES[0],
@@ -118,6 +127,12 @@
     /// A short request was served while `long` long ones ran. `binding` says
     /// whether the limit held work back.
     pub(crate) fn learn(&mut self, now: Duration, job: &Job, long: u32, binding: bool) {
+        if binding {
+            if self.bound.is_none_or(|at| now > at + QUIET) {
+                self.knee.fade(0.0);
+            }
+            self.bound = Some(now);
+        }
         let busy = now.saturating_sub(job.started);
         // The concurrency at dispatch: the one at the end depends on how long
         // the request took, which would bias the service times.
--- a/wisteriaglade-router/src/standing.rs
+++ b/wisteriaglade-router/src/standing.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-/// A queue counts as standing when its oldest request has used this fraction
-/// of its time, for [`INTERVAL`].
-const FRACTION: u32 = 4;
+/// A queue counts as standing when its oldest request has used half
+/// of its time, for [`INTERVAL`]. At a quarter, a queue that would have drained
+/// in time was served out of order, which made the slowest answers of a peak
+/// 1.1 to 2.7 times as slow as first in first out.
+const USED: (u32, u32) = (1, 2);
 
 /// A burst that drains within this time is no standing queue; the value is
 /// the interval of `CoDel` (Nichols and Jacobson, 2012).
@@ -23,7 +25,8 @@
     /// moment of its dispatch.
     pub(crate) fn update(&mut self, now: Duration, oldest: Option<(Duration, Duration)>) {
         let old = oldest.is_some_and(|(arrived, latest)| {
-            now.saturating_sub(arrived) * FRACTION > latest.saturating_sub(arrived)
+            let used = now.saturating_sub(arrived).saturating_mul(USED.1);
+            used > latest.saturating_sub(arrived).saturating_mul(USED.0)
         });
         self.since = if old { self.since.or(Some(now)) } else { None };
     }
