Stream request bodies without a length

A chunked body over 64 KiB was refused with 413. Its start is kept and the rest is streamed now, up to the limit of a body. The new test sends 5 lengths with and without a length through 3 nodes; all 30 arrive whole.

--- a/examples/support/client.rs
+++ b/examples/support/client.rs
@@ -107,3 +107,40 @@
             .await
     }
 }
+
+/// Posts a body of zeros, with a content-length or in chunks, and returns the
+/// response as text.
+pub async fn upload(
+    address: SocketAddr,
+    path: &str,
+    key: &str,
+    length: usize,
+    chunked: bool,
+) -> std::io::Result<String> {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(address).await?;
+    let framing = if chunked {
+        "transfer-encoding: chunked".to_owned()
+    } else {
+        format!("content-length: {length}")
+    };
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nidempotency-key: {key}\r\nconnection: close\r\n{framing}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let body = vec![0; length];
+    if chunked {
+        for chunk in body.chunks(50_000) {
+            let size = format!("{:x}\r\n", chunk.len());
+            stream.write_all(size.as_bytes()).await?;
+            stream.write_all(chunk).await?;
+            stream.write_all(b"\r\n").await?;
+        }
+        stream.write_all(b"0\r\n\r\n").await?;
+    } else {
+        stream.write_all(&body).await?;
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -115,3 +115,27 @@
         assert_eq!(answer.json()["reason"], reason, "{method} {path}");
     }
 }
+
+/// Guards against a body that is cut or buffered whole on its way: one that is
+/// kept, one that is streamed, with and without a length, over every node.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_of_any_length_arrive_whole() {
+    let data = tempfile::tempdir().unwrap();
+    let cluster = cluster(data.path()).await;
+    let mut number = 0;
+
+    for length in [0, 1, 64 * 1024, 64 * 1024 + 1, 3_000_000] {
+        for host in &cluster.hosts {
+            for chunked in [false, true] {
+                number += 1;
+                let key = format!("body-{number}");
+                let answer =
+                    support::client::upload(host.caller, "/bookings/m-1", &key, length, chunked);
+                let answer = answer.await.unwrap();
+                assert!(answer.contains("200 OK"), "{length} {chunked}: {answer}");
+                let ran = format!("ran, {length} bytes");
+                assert!(answer.contains(&ran), "{length} {chunked}: {answer}");
+            }
+        }
+    }
+}
--- a/wisteriaglade-node/src/body.rs
+++ b/wisteriaglade-node/src/body.rs
@@ -15,7 +15,7 @@
 pub(crate) enum Error {
     /// The HTTP connection failed.
     Http(hyper::Error),
-    /// The sender of the body went away before its end.
+    /// The sender of the body went away before its end, or it is too long.
     Cut,
 }
 
@@ -46,6 +46,13 @@
     Full(Full<Bytes>),
     /// It is read from an HTTP connection.
     Incoming(Incoming),
+    /// Its start is in memory and the rest is read from an HTTP connection, up
+    /// to a number of bytes.
+    Prefixed {
+        prefix: Option<Bytes>,
+        rest: Incoming,
+        left: u64,
+    },
     /// It is read from a channel.
     Channel(mpsc::Receiver<Piece>, bool),
 }
@@ -63,7 +70,7 @@
     pub(crate) fn copy(&self) -> Option<Self> {
         match self {
             Self::Full(full) => Some(Self::Full(full.clone())),
-            Self::Incoming(_) | Self::Channel(..) => None,
+            Self::Incoming(_) | Self::Prefixed { .. } | Self::Channel(..) => None,
         }
     }
 
@@ -85,6 +92,20 @@
                 .poll_frame(context)
                 .map_err(|never| match never {}),
             Self::Incoming(incoming) => Pin::new(incoming).poll_frame(context).map_err(Error::Http),
+            Self::Prefixed { prefix, rest, left } => {
+                if let Some(data) = prefix.take() {
+                    return Poll::Ready(Some(Ok(Frame::data(data))));
+                }
+                let frame = Pin::new(rest).poll_frame(context).map_err(Error::Http);
+                if let Poll::Ready(Some(Ok(frame))) = &frame {
+                    let length = frame.data_ref().map_or(0, Bytes::len) as u64;
+                    match left.checked_sub(length) {
+                        Some(less) => *left = less,
+                        None => return Poll::Ready(Some(Err(Error::Cut))),
+                    }
+                }
+                frame
+            }
             Self::Channel(_, true) => Poll::Ready(None),
             Self::Channel(pieces, ended) => match pieces.poll_recv(context) {
                 Poll::Pending => Poll::Pending,
@@ -105,6 +126,7 @@
         match self {
             Self::Full(full) => full.is_end_stream(),
             Self::Incoming(incoming) => incoming.is_end_stream(),
+            Self::Prefixed { prefix, rest, .. } => prefix.is_none() && rest.is_end_stream(),
             Self::Channel(_, ended) => *ended,
         }
     }
@@ -113,7 +135,7 @@
         match self {
             Self::Full(full) => full.size_hint(),
             Self::Incoming(incoming) => incoming.size_hint(),
-            Self::Channel(..) => SizeHint::default(),
+            Self::Prefixed { .. } | Self::Channel(..) => SizeHint::default(),
         }
     }
 }
--- a/wisteriaglade-node/src/payload.rs
+++ b/wisteriaglade-node/src/payload.rs
@@ -25,8 +25,9 @@
     /// Reads a body into memory up to `keep` bytes, or leaves it as a stream
     /// when it announces more.
     ///
-    /// A body without a length is read up to `keep` bytes and then refused as
-    /// too large when it goes on, since a stream cannot be put back.
+    /// A body without a length is read up to `keep` bytes and streamed from
+    /// there on when it is longer. One that turns out to be over `limit` then
+    /// breaks off.
     pub(crate) async fn read(
         mut incoming: Incoming,
         keep: u64,
@@ -53,13 +54,15 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            if (bytes.len() + data.len()) as u64 > keep {
-                return Err(Refusal::not_run(
-                    Reason::BodyTooLarge,
-                    format!("a body over {keep} bytes needs a content-length"),
-                ));
-            }
             bytes.extend_from_slice(&data);
+            let length = bytes.len() as u64;
+            if length > keep {
+                return Ok(Self::Stream(Body::Prefixed {
+                    prefix: Some(bytes.freeze()),
+                    rest: incoming,
+                    left: limit.saturating_sub(length),
+                }));
+            }
         }
         Ok(Self::Kept(bytes.freeze()))
     }
