Show the five quantities and each member in the metrics

Adds counters of arrivals, answers, busy and waiting time for each member, queues and running work by class, granted and lost shards, and the wait for an owner. The new test finds 12 lines of them after one request.

--- a/tests/path.rs
+++ b/tests/path.rs
@@ -139,3 +139,35 @@
         }
     }
 }
+
+/// Guards against a quantity that operators watch and that is not shown.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_metrics_show_each_quantity_and_member() {
+    let data = tempfile::tempdir().unwrap();
+    let cluster = cluster(data.path()).await;
+    let owner = &cluster.hosts[0];
+    let read = cluster
+        .client
+        .send(owner.caller, "GET", "/designs/d-1", &[], "");
+    read.await.unwrap();
+
+    let metrics = cluster.client.send(owner.admin, "GET", "/metrics", &[], "");
+    let text = metrics.await.unwrap().text();
+
+    for line in [
+        "wisteriaglade_requests_total{member=\"llewellyn\",outcome=\"done\"} 1",
+        "wisteriaglade_member_arrivals_total{member=\"llewellyn\"} 1",
+        "wisteriaglade_member_served_total{member=\"llewellyn\"} 1",
+        "wisteriaglade_member_busy_seconds_total{member=\"llewellyn\"}",
+        "wisteriaglade_member_wait_seconds_total{member=\"llewellyn\"}",
+        "wisteriaglade_shards_granted_total 256",
+        "wisteriaglade_shards_given_up_total 0",
+        "wisteriaglade_owner_wait_seconds_count",
+        "wisteriaglade_queued{class=\"long\"} 0",
+        "wisteriaglade_running{class=\"short\"} 0",
+        "wisteriaglade_shards 256",
+        "wisteriaglade_lease 1",
+    ] {
+        assert!(text.contains(line), "{line} is not in\n{text}");
+    }
+}
--- a/wisteriaglade-node/src/context.rs
+++ b/wisteriaglade-node/src/context.rs
@@ -157,10 +157,10 @@
         });
         metrics.shards.set(i64::from(held));
         metrics.lease.set(i64::from(self.holds_lease()));
-        let summary = self
-            .admission
-            .inspect(wisteriaglade_router::Router::summary);
-        metrics.limit.set(i64::from(summary.limit));
+        self.admission.inspect(|router| {
+            metrics.summarise(&router.summary());
+            metrics.members.update(router.members());
+        });
         let view = read(&self.view);
         let signed = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
         metrics.applied.set(signed(view.applied.get()));
--- a/wisteriaglade-node/src/ingress.rs
+++ b/wisteriaglade-node/src/ingress.rs
@@ -36,6 +36,9 @@
 /// The longest pause before the same owner is tried again.
 const LONGEST_PAUSE: Duration = Duration::from_millis(320);
 
+/// A wait for an owner that is not counted, since there was one.
+const UNNOTICED: Duration = Duration::from_millis(1);
+
 /// When a caller should come back to a node that is behind.
 const BEHIND: Duration = Duration::from_millis(500);
 
@@ -312,9 +315,14 @@
 /// The node that owns the key, after a wait when there is none.
 async fn owner(context: &Context, ingress: &Ingress) -> Result<Place, Refusal> {
     let mut changes = context.applied.subscribe();
+    let start = context.clock.now();
     let patience = (context.clock.now() + OWNERLESS).min(ingress.deadline);
     loop {
         if let Some(found) = look_up(context, ingress) {
+            let waited = context.clock.now().saturating_sub(start);
+            if waited > UNNOTICED {
+                context.metrics.waited(waited);
+            }
             return Ok(found);
         }
         let remaining = patience.saturating_sub(context.clock.now());
--- a/wisteriaglade-node/src/metrics.rs
+++ b/wisteriaglade-node/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics in the Prometheus text format.
 
+mod members;
+
 use std::{sync::Mutex, time::Duration};
 
 use prometheus_client::{
@@ -7,8 +9,10 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::{Registry, Unit},
 };
+use wisteriaglade_router::Summary;
 use wisteriaglade_types::{Name, Outcome};
 
+use self::members::Members;
 use crate::lock;
 
 /// Buckets of request durations in seconds, dense around the 14 ms that 99 in
@@ -25,6 +29,14 @@
     requests: Family<Answer, Counter>,
     durations: Family<Member, Histogram, fn() -> Histogram>,
     refusals: Family<Refused, Counter>,
+    /// How long requests waited for a key to get an owner.
+    ownerless: Histogram,
+    pub(crate) members: Members,
+    /// Shards that this node was granted, and shards that it gave up.
+    pub(crate) granted: Counter,
+    pub(crate) given_up: Counter,
+    queued: Family<Class, Gauge>,
+    running: Family<Class, Gauge>,
     /// Datagrams in both directions and the entries of the control log.
     control: Counter,
     pub(crate) pending: Gauge,
@@ -47,6 +59,11 @@
     member: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Class {
+    class: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Refused {
     member: String,
@@ -55,11 +72,16 @@
 
 impl Metrics {
     pub(crate) fn new() -> Self {
-        let mut registry = Registry::with_prefix("wisteriaglade");
         let metrics = Self {
             requests: Family::default(),
             durations: Family::new_with_constructor(|| Histogram::new(BUCKETS)),
             refusals: Family::default(),
+            ownerless: Histogram::new(BUCKETS),
+            members: Members::default(),
+            granted: Counter::default(),
+            given_up: Counter::default(),
+            queued: Family::default(),
+            running: Family::default(),
             control: Counter::default(),
             pending: Gauge::default(),
             limit: Gauge::default(),
@@ -70,60 +92,96 @@
             records: Gauge::default(),
             registry: Mutex::new(Registry::default()),
         };
+        let mut registry = Registry::with_prefix("wisteriaglade");
+        metrics.register_requests(&mut registry);
+        metrics.members.register(&mut registry);
+        metrics.register_gauges(&mut registry);
+        *lock(&metrics.registry) = registry;
+        metrics
+    }
+
+    fn register_requests(&self, registry: &mut Registry) {
         registry.register(
             "control_bytes",
             "Bytes of datagrams sent and received and of control entries received",
-            metrics.control.clone(),
+            self.control.clone(),
         );
         registry.register(
             "requests",
             "Requests answered to callers, by outcome",
-            metrics.requests.clone(),
+            self.requests.clone(),
         );
         registry.register_with_unit(
             "request_duration",
             "Time from the arrival of a request to the start of its response",
             Unit::Seconds,
-            metrics.durations.clone(),
+            self.durations.clone(),
         );
         registry.register(
             "refusals",
             "Requests refused by the admission queue of the target",
-            metrics.refusals.clone(),
+            self.refusals.clone(),
+        );
+        registry.register_with_unit(
+            "owner_wait",
+            "Time that requests waited for a key to get an owner",
+            Unit::Seconds,
+            self.ownerless.clone(),
+        );
+        registry.register(
+            "shards_granted",
+            "Shards that this node was granted",
+            self.granted.clone(),
         );
+        registry.register(
+            "shards_given_up",
+            "Shards that this node lost or handed over",
+            self.given_up.clone(),
+        );
+        registry.register(
+            "queued",
+            "Requests that wait at the target, by the class of their work",
+            self.queued.clone(),
+        );
+        registry.register(
+            "running",
+            "Requests that run at the target, by the class of their work",
+            self.running.clone(),
+        );
+    }
+
+    fn register_gauges(&self, registry: &mut Registry) {
         for (name, help, gauge) in [
             (
                 "pending",
                 "Requests that wait or run at the target",
-                &metrics.pending,
+                &self.pending,
             ),
             (
                 "limit",
                 "Requests that may run at the target at once",
-                &metrics.limit,
+                &self.limit,
             ),
-            ("shards", "Shards that this node owns", &metrics.shards),
-            ("lease", "Whether this node holds its lease", &metrics.lease),
+            ("shards", "Shards that this node owns", &self.shards),
+            ("lease", "Whether this node holds its lease", &self.lease),
             (
                 "applied_index",
                 "The last applied index of the control log",
-                &metrics.applied,
+                &self.applied,
             ),
             (
                 "rules_version",
                 "The version of the rules in force",
-                &metrics.rules,
+                &self.rules,
             ),
             (
                 "record_bytes",
                 "Memory for records held for other nodes",
-                &metrics.records,
+                &self.records,
             ),
         ] {
             registry.register(name, help, gauge.clone());
         }
-        *lock(&metrics.registry) = registry;
-        metrics
     }
 
     /// Counts an answer to a caller.
@@ -146,6 +204,24 @@
         self.control.inc_by(bytes);
     }
 
+    /// Notes how long a request waited for an owner.
+    pub(crate) fn waited(&self, wait: Duration) {
+        self.ownerless.observe(wait.as_secs_f64());
+    }
+
+    /// Brings the gauges of the admission queue up to date.
+    pub(crate) fn summarise(&self, summary: &Summary) {
+        self.limit.set(i64::from(summary.limit));
+        let set = |family: &Family<Class, Gauge>, class, number: i64| {
+            family.get_or_create(&Class { class }).set(number);
+        };
+        let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+        set(&self.queued, "short", count(summary.queued_short));
+        set(&self.queued, "long", count(summary.queued_long));
+        set(&self.running, "short", i64::from(summary.running_short));
+        set(&self.running, "long", i64::from(summary.running_long));
+    }
+
     /// Counts a refusal by the admission queue.
     pub(crate) fn refused(&self, member: &Name, reason: &str) {
         self.refusals
--- /dev/null
+++ b/wisteriaglade-node/src/metrics/members.rs
@@ -0,0 +1,77 @@
+//! How each member is treated at the target beside this process.
+
+use std::{collections::BTreeMap, sync::atomic::AtomicU64};
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family},
+    registry::{Registry, Unit},
+};
+use wisteriaglade_router::Usage;
+use wisteriaglade_types::Name;
+
+type Seconds = Counter<f64, AtomicU64>;
+
+/// Counters for each member. The reducer bounds the number of members.
+#[derive(Debug, Default)]
+pub(crate) struct Members {
+    arrivals: Family<Member, Counter>,
+    served: Family<Member, Counter>,
+    busy: Family<Member, Seconds>,
+    wait: Family<Member, Seconds>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Member {
+    member: String,
+}
+
+impl Members {
+    pub(super) fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "member_arrivals",
+            "Requests of a member that reached the target's queue",
+            self.arrivals.clone(),
+        );
+        registry.register(
+            "member_served",
+            "Requests of a member that the target answered",
+            self.served.clone(),
+        );
+        registry.register_with_unit(
+            "member_busy",
+            "Time that requests of a member occupied slots of the target",
+            Unit::Seconds,
+            self.busy.clone(),
+        );
+        registry.register_with_unit(
+            "member_wait",
+            "Time that requests of a member waited for a slot of the target",
+            Unit::Seconds,
+            self.wait.clone(),
+        );
+    }
+
+    /// Brings the counters up to the totals of the reducer, which only grow.
+    pub(crate) fn update(&self, usages: &BTreeMap<Name, Usage>) {
+        for (name, usage) in usages {
+            let member = Member {
+                member: name.to_string(),
+            };
+            raise(&self.arrivals, &member, usage.arrivals);
+            raise(&self.served, &member, usage.served);
+            raise_seconds(&self.busy, &member, usage.busy.as_secs_f64());
+            raise_seconds(&self.wait, &member, usage.wait.as_secs_f64());
+        }
+    }
+}
+
+fn raise(family: &Family<Member, Counter>, member: &Member, total: u64) {
+    let counter = family.get_or_create(member);
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
+fn raise_seconds(family: &Family<Member, Seconds>, member: &Member, total: f64) {
+    let counter = family.get_or_create(member);
+    counter.inc_by((total - counter.get()).max(0.0));
+}
--- a/wisteriaglade-node/src/records.rs
+++ b/wisteriaglade-node/src/records.rs
@@ -105,9 +105,15 @@
 pub(crate) fn follow(context: &Arc<Context>, node: Node) {
     let events = {
         let view = read(&context.view);
-        lock(&context.records.inner).owned.update(&view.state, node)
+        let owned = &mut lock(&context.records.inner).owned;
+        let events = owned.update(&view.state, node);
+        context.metrics.granted.inc_by(owned.take_granted());
+        events
     };
     for event in events {
+        if matches!(event, Event::Disown { .. }) {
+            context.metrics.given_up.inc();
+        }
         step(context, event);
     }
 }
--- a/wisteriaglade-node/src/records/owned.rs
+++ b/wisteriaglade-node/src/records/owned.rs
@@ -10,6 +10,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Owned {
     shards: BTreeMap<(Name, Shard), Told>,
+    /// Grants since they were last taken, for the metrics.
+    granted: u64,
 }
 
 #[derive(Debug, PartialEq, Eq)]
@@ -22,6 +24,11 @@
 }
 
 impl Owned {
+    /// The number of grants since the last call.
+    pub(super) const fn take_granted(&mut self) -> u64 {
+        std::mem::replace(&mut self.granted, 0)
+    }
+
     /// The events that bring the owner's side up to date.
     pub(super) fn update(&mut self, state: &State, node: Node) -> Vec<Event> {
         let mut events = Vec::new();
@@ -81,6 +88,9 @@
             .any(|&holder| state.node(holder).is_none() || state.is_fenced(holder));
         let place = (name.clone(), shard);
         let told = self.shards.get(&place);
+        if told.is_none_or(|told| told.epoch != epoch) {
+            self.granted += 1;
+        }
         if told.is_none_or(|told| {
             told.epoch != epoch || told.cover != cover || told.holders != holders
         }) {
