--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -290,7 +290,10 @@
         clock,
         outbox,
     })
-    .map_err(|error| Error::Replica(error.to_string()))?;
+    .map_err(|error| {
+        let data = local.data.display();
+        Error::Replica(format!("field `replica.data`: {data}: {error}"))
+    })?;
     let outgoing = Outgoing {
         messages,
         fenced: Some(fenced),
--- a/wisteriaglade-node/src/replica/error.rs
+++ b/wisteriaglade-node/src/replica/error.rs
@@ -16,9 +16,9 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Storage(error) => write!(f, "control replica: {error}"),
-            Self::Snapshot(detail) => write!(f, "control replica: snapshot: {detail}"),
-            Self::Thread(error) => write!(f, "control replica: cannot start a thread: {error}"),
+            Self::Storage(error) => error.fmt(f),
+            Self::Snapshot(detail) => write!(f, "snapshot: {detail}"),
+            Self::Thread(error) => write!(f, "cannot start a thread: {error}"),
         }
     }
 }
