Test bad input to the admin listener

Ten cases: changes without a token or with a wrong one, malformed and oversize documents, a target without slots, a wrong method. All are refused with their status, and the node stays healthy.

--- a/tests/path.rs
+++ b/tests/path.rs
@@ -171,3 +171,47 @@
         assert!(text.contains(line), "{line} is not in\n{text}");
     }
 }
+
+/// Method, path, headers, body, and the expected status.
+type Input<'a> = (&'a str, &'a str, &'a [(&'a str, &'a str)], &'a str, u16);
+
+/// Guards against changes without a token, and against bad input that gets past
+/// the admin listener or disturbs it.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_to_the_admin_listener_is_refused() {
+    let data = tempfile::tempdir().unwrap();
+    let cluster = cluster(data.path()).await;
+    let admin = cluster.hosts[0].admin;
+    let json = ("content-type", "application/json");
+    let wrong = ("authorization", "Bearer someone-else");
+    let target = |slots: u64| {
+        format!(
+            "{{\"pool\":\"p\",\"address\":\"127.0.0.1:9\",\"slots\":{slots},\"connections\":1}}"
+        )
+    };
+    let change = "{\"id\":\"1\",\"base\":1,\"text\":\"\"}";
+    let long = "x".repeat((1 << 20) + 1);
+    let cases: [Input; 10] = [
+        ("PUT", "/v1/rules", &[json], change, 401),
+        ("PUT", "/v1/rules", &[json, wrong], change, 401),
+        ("POST", "/v1/nodes/1/drain", &[], "", 401),
+        ("POST", "/v1/nodes/1/lost", &[wrong], "", 401),
+        ("PUT", "/v1/target", &[json], "{", 400),
+        ("PUT", "/v1/target", &[json], "{\"pool\":\"p\"}", 400),
+        ("PUT", "/v1/target", &[json], &target(0), 400),
+        ("POST", "/v1/rules/check", &[json], &long, 400),
+        ("GET", "/v1/explain", &[], "", 400),
+        ("DELETE", "/v1/rules", &[], "", 405),
+    ];
+
+    for (method, path, headers, body, status) in cases {
+        let answer = cluster
+            .client
+            .send(admin, method, path, headers, body.to_owned());
+        let answer = answer.await.unwrap();
+        let start = body.get(..40).unwrap_or(body);
+        assert_eq!(answer.status.as_u16(), status, "{method} {path} {start}");
+    }
+    let health = cluster.client.send(admin, "GET", "/v1/health", &[], "");
+    assert_eq!(health.await.unwrap().status, 200);
+}
