--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -27,14 +27,13 @@
     caller,
     clock::Clock,
     context::{Addresses, Context},
-    datagrams, lease, load,
+    datagrams, lease, load, membership,
     metrics::Metrics,
     peer,
     pool::Pool,
     records::{self, Records},
     replica,
     seen::Seen,
-    session,
     settings::{self, Policy, Settings},
     subscription, target,
     view::View,
@@ -194,8 +193,8 @@
         tokio::spawn(peer::listen(Arc::clone(context), peers));
         tokio::spawn(datagrams::receive(Arc::clone(context)));
         tokio::spawn(subscription::follow(Arc::clone(context)));
-        tokio::spawn(session::run(Arc::clone(context)));
-        tokio::spawn(session::renew(Arc::clone(context)));
+        tokio::spawn(membership::run(Arc::clone(context)));
+        tokio::spawn(membership::renew(Arc::clone(context)));
         tokio::spawn(load::report(Arc::clone(context)));
         tokio::spawn(records::tick(Arc::clone(context)));
         let (admission, shutdown) = (Arc::clone(&context.admission), context.shutdown.clone());
--- a/wisteriaglade-node/src/lib.rs
+++ b/wisteriaglade-node/src/lib.rs
@@ -26,7 +26,7 @@
 //! Decisions are made by packages without I/O; this package feeds them events
 //! and carries out their effects. A request passes the modules `caller`,
 //! `ingress`, `forward` (when another node owns the key), `peer`, `work`,
-//! `admission` and `target`. The membership of a process is kept by `session`,
+//! `admission` and `target`. The membership of a process is kept by `membership`,
 //! its copy of the control state by `subscription`, and the control replica
 //! runs in `replica`.
 
@@ -45,6 +45,7 @@
 mod job;
 mod lease;
 mod load;
+mod membership;
 mod message;
 mod metrics;
 mod payload;
@@ -56,7 +57,6 @@
 #[doc(hidden)]
 pub mod sample;
 mod seen;
-mod session;
 pub mod settings;
 mod subscription;
 mod target;
--- a/wisteriaglade-node/src/session.rs
+++ b/wisteriaglade-node/src/membership.rs
@@ -17,7 +17,7 @@
     read, records,
 };
 
-/// The patience for one proposal of the session.
+/// The patience for one proposal.
 const PATIENCE: Duration = Duration::from_secs(10);
 
 /// The pause between two looks at what has to be proposed.
@@ -134,7 +134,7 @@
         _ => info!(event = "leave"),
     }
     if context.propose(command, PATIENCE).await.is_none() {
-        // Nothing else would wake the session to try again.
+        // Nothing else would wake this task to try again.
         context.announced.send_modify(|_| {});
     }
 }
