--- a/wisteriaglade-node/src/forward.rs
+++ b/wisteriaglade-node/src/forward.rs
@@ -201,7 +201,7 @@
     async fn resolve(&self) -> Refusal {
         self.context.pool.forget(self.peer);
         tokio::select! {
-            () = self.fenced() => unreachable(),
+            () = self.fenced() => out_of_reach(),
             refusal = self.query() => refusal,
         }
     }
@@ -243,11 +243,11 @@
                 _ => {}
             }
         }
-        unreachable()
+        out_of_reach()
     }
 }
 
-fn unreachable() -> Refusal {
+fn out_of_reach() -> Refusal {
     Refusal::unknown(
         Reason::ConnectionLost,
         "the owner's node cannot be reached any more",
