Give each sample cluster its own loopback addresses

Ports that were found free were bound a moment later, and 2 of 6 tests of one binary failed because another cluster had taken them in between. A new test shows that a caller cannot set the fencing token.

--- a/examples/support/cluster.rs
+++ b/examples/support/cluster.rs
@@ -1,7 +1,7 @@
 //! A cluster of daemons with their targets on loopback, in one process.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::Path,
     sync::Arc,
     time::{Duration, Instant},
@@ -18,6 +18,11 @@
 /// The token of the operator of a sample cluster.
 pub const TOKEN: &str = "sample-operator-token";
 
+/// The ports of each host, which has an address of its own.
+const CALLER: u16 = 8080;
+const PEER: u16 = 7946;
+const ADMIN: u16 = 9090;
+
 /// One host: a daemon, and a target when a pool is given.
 #[derive(Debug, Clone)]
 pub struct Host {
@@ -53,10 +58,10 @@
         extra: &str,
         data: &Path,
     ) -> Result<Self, Error> {
-        let peers = ports(replicas)?;
+        let block = block()?;
         let mut running = Vec::new();
         for (position, host) in hosts.iter().enumerate() {
-            let text = settings(host, position, &peers, holders, extra, data);
+            let text = settings(host, position, (block, replicas), holders, extra, data);
             running.push(launch(host, &text).await?);
         }
         let cluster = Self {
@@ -193,38 +198,48 @@
     }
 }
 
-fn ports(count: usize) -> Result<Vec<SocketAddr>, Error> {
-    // All of them are bound at once, so that no port is given out twice.
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
-        .collect::<Result<_, _>>()?;
-    Ok(listeners
-        .iter()
-        .map(TcpListener::local_addr)
-        .collect::<Result<_, _>>()?)
+/// Two bytes of loopback addresses that no other cluster on this machine uses.
+/// Ports that are found free and bound later are taken by others in between.
+fn block() -> Result<[u8; 2], Error> {
+    for _ in 0..64 {
+        let [second, third]: [u8; 2] = rand::random();
+        let block = [128 | second & 63, third];
+        if TcpListener::bind(address(block, 0, PEER)).is_ok() {
+            return Ok(block);
+        }
+    }
+    Err("no free block of loopback addresses".into())
+}
+
+fn address([second, third]: [u8; 2], position: usize, port: u16) -> SocketAddr {
+    let last = u8::try_from(position + 1).unwrap_or(u8::MAX);
+    (Ipv4Addr::new(127, second, third, last), port).into()
 }
 
 fn settings(
     host: &Host,
     position: usize,
-    peers: &[SocketAddr],
+    (block, replicas): ([u8; 2], usize),
     holders: usize,
     extra: &str,
     data: &Path,
 ) -> String {
     use std::fmt::Write as _;
-    let peer = peers
-        .get(position)
-        .map_or_else(|| "127.0.0.1:0".to_owned(), ToString::to_string);
+    let own = |port| address(block, position, port);
     let mut text = format!(
-        "host: {}\ndata_centre: {}\nlisten:\n  caller: 127.0.0.1:0\n  peer: {peer}\n  admin: 127.0.0.1:0\n\
+        "host: {}\ndata_centre: {}\nlisten:\n  caller: {}\n  peer: {}\n  admin: {}\n\
          cluster_key: sample-cluster-key-on-loopback\nholders: {holders}\nlog: warn\nreplicas:\n",
-        host.name, host.data_centre
+        host.name,
+        host.data_centre,
+        own(CALLER),
+        own(PEER),
+        own(ADMIN)
     );
-    for (id, peer) in peers.iter().enumerate() {
-        let _ = writeln!(text, "  - {{ id: {}, peer: '{peer}' }}", id + 1);
+    for replica in 0..replicas {
+        let peer = address(block, replica, PEER);
+        let _ = writeln!(text, "  - {{ id: {}, peer: '{peer}' }}", replica + 1);
     }
-    if position < peers.len() {
+    if position < replicas {
         let data = data.join(&host.name);
         let _ = writeln!(
             text,
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -215,3 +215,30 @@
     let health = cluster.client.send(admin, "GET", "/v1/health", &[], "");
     assert_eq!(health.await.unwrap().status, 200);
 }
+
+/// Guards against a caller that sets the headers that targets trust.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_cannot_set_the_fencing_token() {
+    const FORGED: u64 = 999_999_999;
+    let data = tempfile::tempdir().unwrap();
+    let cluster = cluster(data.path()).await;
+    let forged = FORGED.to_string();
+    let headers = [
+        ("wg-epoch", forged.as_str()),
+        ("wg-shard", "7"),
+        ("wg-member", "ribeira"),
+    ];
+
+    for host in &cluster.hosts {
+        let read = cluster
+            .client
+            .send(host.caller, "GET", "/designs/d-1", &headers, "");
+        let answer = read.await.unwrap();
+        assert_eq!(answer.status, 200);
+        assert_ne!(answer.header("wg-epoch"), forged);
+    }
+
+    let ran = cluster.hosts[0].target.as_ref().unwrap().executions();
+    assert_eq!(ran.len(), 3);
+    assert!(ran.iter().all(|run| run.epoch < FORGED), "{ran:?}");
+}
