Remove an epoch and a number of connections that nobody reads

The start of a forwarded response carried the epoch twice: as a header, and parsed from it into a field that the receiver never looked at. No behaviour changes.

--- a/wisteriaglade-node/src/admission.rs
+++ b/wisteriaglade-node/src/admission.rs
@@ -44,7 +44,6 @@
     /// Requests that wait or run, by shard; a shard with none can move.
     shards: HashMap<Shard, usize>,
     suspect: bool,
-    warm: u32,
     hot: Hot,
 }
 
@@ -80,7 +79,6 @@
                 running: HashMap::new(),
                 shards: HashMap::new(),
                 suspect: false,
-                warm: 0,
                 hot: Hot::default(),
             }),
             changed: Notify::new(),
@@ -255,7 +253,9 @@
                     cancel.cancel();
                 }
             }
-            Effect::Warm { connections } => self.warm = connections,
+            // The pool of the HTTP client opens connections on demand and
+            // cannot be told to open them ahead.
+            Effect::Warm { .. } => {}
             Effect::Suspect => self.suspect = true,
             Effect::Recovered => self.suspect = false,
         }
--- a/wisteriaglade-node/src/message.rs
+++ b/wisteriaglade-node/src/message.rs
@@ -7,7 +7,7 @@
 use wisteriaglade_consensus as consensus;
 use wisteriaglade_control as control;
 use wisteriaglade_once::holder;
-use wisteriaglade_types::{Epoch, Index, Name, Node, Request};
+use wisteriaglade_types::{Index, Name, Node, Request};
 
 use crate::refusal::Refusal;
 
@@ -110,7 +110,6 @@
 pub(crate) struct Head {
     pub(crate) status: u16,
     pub(crate) headers: Vec<(String, Bytes)>,
-    pub(crate) epoch: Option<Epoch>,
 }
 
 /// A UDP datagram.
--- a/wisteriaglade-node/src/peer/exchange.rs
+++ b/wisteriaglade-node/src/peer/exchange.rs
@@ -11,7 +11,6 @@
 };
 use tokio_util::sync::CancellationToken;
 use tracing::{Instrument, info_span};
-use wisteriaglade_types::Epoch;
 use wisteriaglade_wire::{Result, Writer};
 
 use super::Inbox;
@@ -19,7 +18,6 @@
     body::{Body, Piece},
     context::Context,
     forward::{flatten, unflatten},
-    header as names,
     job::Job,
     message::{Forward, Head, Message},
     refusal::{Reason, Refusal},
@@ -157,15 +155,9 @@
 
     async fn respond(&mut self, response: Response<Body>) -> Result<()> {
         let (parts, mut body) = response.into_parts();
-        let epoch = parts
-            .headers
-            .get(names::EPOCH)
-            .and_then(|value| value.to_str().ok()?.parse().ok())
-            .map(Epoch::new);
         let head = Head {
             status: parts.status.as_u16(),
             headers: flatten(&parts.headers),
-            epoch,
         };
         self.writer.send(&Message::Head(Box::new(head))).await?;
         loop {
