--- a/src/bin/wisteriaglade.rs
+++ b/src/bin/wisteriaglade.rs
@@ -5,8 +5,12 @@
 use getopts::Options;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
-use tracing::warn;
-use wisteriaglade::node::{Daemon, Settings, telemetry};
+use tracing::{error, info, warn};
+use wisteriaglade::{
+    fleet,
+    node::{Daemon, Settings, telemetry},
+    platform::{Words, settings},
+};
 
 /// The command line is wrong.
 const USAGE: u8 = 2;
@@ -17,6 +21,7 @@
     Version,
     Check(PathBuf),
     Run(PathBuf),
+    Platform { check: bool },
 }
 
 fn main() -> ExitCode {
@@ -38,6 +43,7 @@
         }
         Task::Check(path) => check(&path),
         Task::Run(path) => start(&path),
+        Task::Platform { check } => platform(check),
     }
 }
 
@@ -46,13 +52,18 @@
     options
         .optopt("s", "settings", "the settings file (YAML)", "FILE")
         .optflag("c", "check", "check the settings and exit")
+        .optflag(
+            "p",
+            "platform",
+            "take the settings from the users' platform",
+        )
         .optflag("h", "help", "print this help and exit")
         .optflag("V", "version", "print the version and exit");
     options
 }
 
 fn usage() -> String {
-    options().usage("Usage: wisteriaglade --settings FILE [--check]")
+    options().usage("Usage: wisteriaglade (--settings FILE | --platform) [--check]")
 }
 
 fn task(arguments: impl Iterator<Item = String>) -> Result<Task, String> {
@@ -68,6 +79,11 @@
     if let Some(extra) = matches.free.first() {
         return Err(format!("unexpected argument `{extra}`"));
     }
+    if matches.opt_present("platform") {
+        return Ok(Task::Platform {
+            check: matches.opt_present("check"),
+        });
+    }
     let path = matches
         .opt_str("settings")
         .map(PathBuf::from)
@@ -109,6 +125,63 @@
     runtime.block_on(run(settings))
 }
 
+/// Runs a process of a fleet with the settings of the users' platform.
+fn platform(check: bool) -> ExitCode {
+    let path = std::env::var(settings::VARIABLE).unwrap_or_else(|_| settings::PATH.to_owned());
+    let text = match std::fs::read_to_string(&path) {
+        Ok(text) => text,
+        Err(error) => return fail(&format!("{path}: {error}")),
+    };
+    let settings = match settings::read(&text) {
+        Ok(settings) => settings,
+        Err(error) => return fail(&format!("{path}: {error}")),
+    };
+    if check {
+        println!("{path}: valid\n{settings:#?}");
+        return ExitCode::SUCCESS;
+    }
+    // The hosts of the fleet have a part of one core.
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error),
+    };
+    runtime.block_on(join(settings))
+}
+
+async fn join(settings: fleet::Settings) -> ExitCode {
+    let filter = std::env::var("WISTERIAGLADE_LOG").unwrap_or_else(|_| "info".to_owned());
+    let _guard = match fleet::start_log(&filter) {
+        Ok(guard) => guard,
+        Err(error) => return fail(&error),
+    };
+    let stop = CancellationToken::new();
+    if let Err(error) = watch(stop.clone()).and_then(|()| reload()) {
+        return fail(&error);
+    }
+    match fleet::run::<Words>(settings, stop).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error!(event = "start-failed", error = %error);
+            fail(&error)
+        }
+    }
+}
+
+/// Notes that the settings have changed. What a process was told at its start
+/// stays in force: it has learned the other processes since then.
+fn reload() -> std::io::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            info!(event = "reload");
+        }
+    });
+    Ok(())
+}
+
 async fn run(settings: Settings) -> ExitCode {
     // The guard exports the last spans when the process ends.
     let _guard = match telemetry::start(&settings) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,8 @@
 
 pub use {
     wisteriaglade_consensus as consensus, wisteriaglade_control as control,
-    wisteriaglade_ctl as ctl, wisteriaglade_node as node, wisteriaglade_once as once,
+    wisteriaglade_ctl as ctl, wisteriaglade_fleet as fleet, wisteriaglade_mesh as mesh,
+    wisteriaglade_node as node, wisteriaglade_once as once, wisteriaglade_platform as platform,
     wisteriaglade_router as router, wisteriaglade_rules as rules, wisteriaglade_types as types,
     wisteriaglade_wire as wire,
 };
--- /dev/null
+++ b/wisteriaglade-fleet/src/host/beats.rs
@@ -0,0 +1,108 @@
+//! The target's heartbeats.
+
+use std::{marker::PhantomData, net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tracing::{debug, warn};
+use wisteriaglade_types::Name;
+
+use super::Host;
+use crate::{
+    Dialect,
+    dialect::Call,
+    lock,
+    server::{self, Service},
+};
+
+/// The largest heartbeat: a few hundred key ranges.
+const BODY_MAX: usize = 256 * 1024;
+
+/// Answers the target's heartbeats.
+#[derive(Debug)]
+pub(super) struct Beats<D> {
+    host: Arc<Host>,
+    dialect: PhantomData<D>,
+}
+
+impl<D> Clone for Beats<D> {
+    fn clone(&self) -> Self {
+        Self {
+            host: Arc::clone(&self.host),
+            dialect: PhantomData,
+        }
+    }
+}
+
+impl<D: Dialect> Beats<D> {
+    pub(super) fn new(host: Arc<Host>) -> Self {
+        Self {
+            host,
+            dialect: PhantomData,
+        }
+    }
+
+    fn fail(status: StatusCode, detail: &str) -> Response<Full<Bytes>> {
+        server::json(status, D::error(detail))
+    }
+
+    fn beat(&self, target: &Name, body: &[u8]) -> Response<Full<Bytes>> {
+        let host = &self.host;
+        let beat = match D::beat(target, body) {
+            Ok(beat) => beat,
+            Err(error) => {
+                debug!(event = "beat-refused", target = %target, reason = %error);
+                return Self::fail(StatusCode::BAD_REQUEST, &error.to_string());
+            }
+        };
+        if beat.address != host.beside.target {
+            warn!(event = "beat-foreign", target = %target, address = %beat.address);
+            return Self::fail(
+                StatusCode::BAD_REQUEST,
+                "the address is not of this host's target",
+            );
+        }
+        let now = host.clock.now();
+        let limit = host.settings.hold_max;
+        let taken = lock(&host.tracker).beat(now, &beat, limit);
+        let Some((grant, news)) = taken else {
+            return Self::fail(StatusCode::CONFLICT, "a newer heartbeat is known");
+        };
+        host.admission.resize(beat.slots);
+        if news {
+            host.nudge.notify_one();
+        }
+        server::json(StatusCode::OK, D::grant(grant.as_ref()))
+    }
+
+    fn leave(&self, target: &Name, body: &[u8]) -> Response<Full<Bytes>> {
+        let born = match D::born(body) {
+            Ok(born) => born,
+            Err(error) => return Self::fail(StatusCode::BAD_REQUEST, &error.to_string()),
+        };
+        let now = self.host.clock.now();
+        if lock(&self.host.tracker).leave(now, target, born) {
+            self.host.nudge.notify_one();
+        }
+        server::json(StatusCode::OK, b"{}".to_vec())
+    }
+}
+
+impl<D: Dialect> Service for Beats<D> {
+    async fn answer(&self, _: SocketAddr, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let call = D::call(request.method(), request.uri());
+        let (Some(Call::Beat(target)) | Some(Call::Leave(target))) = &call else {
+            return Self::fail(StatusCode::NOT_FOUND, "no such call");
+        };
+        let body = match server::body(request.into_body(), BODY_MAX).await {
+            Ok(body) => body,
+            Err(_) => return Self::fail(StatusCode::BAD_REQUEST, "the body is incomplete"),
+        };
+        match &call {
+            Some(Call::Beat(_)) => self.beat(target, &body),
+            _ => self.leave(target, &body),
+        }
+    }
+}
--- /dev/null
+++ b/wisteriaglade-fleet/src/host/peers.rs
@@ -0,0 +1,325 @@
+//! Links to the other hosts.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    marker::PhantomData,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+use tracing::{info, warn};
+use wisteriaglade_mesh::{Load, Reason};
+use wisteriaglade_types::Name;
+use wisteriaglade_wire::Clock;
+
+use super::{
+    Host,
+    admission::{Key, Reply, millis},
+};
+use crate::{
+    Dialect,
+    frame::{Frame, Hello, Offer, Outcome},
+    link::{Link, Port, Sink},
+    lock,
+};
+
+/// How long a request waits for a connection before another target is tried.
+const CONNECT: Duration = Duration::from_millis(250);
+
+/// How long a host may be out of reach before its repeatable requests are
+/// taken for lost.
+const LOST: Duration = Duration::from_millis(700);
+
+/// The links to the other hosts.
+#[derive(Debug)]
+pub(super) struct Peers {
+    hello: Hello,
+    clock: Clock,
+    stop: CancellationToken,
+    next: AtomicU64,
+    inner: Arc<Mutex<HashMap<SocketAddr, Peer>>>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    link: Link,
+    port: Option<Port>,
+    /// The run of the process on the other side that was last connected.
+    session: Option<u64>,
+    /// Since when there is no connection.
+    down: Duration,
+    open: HashMap<u64, Open>,
+}
+
+#[derive(Debug)]
+struct Open {
+    offer: Offer,
+    since: Duration,
+    /// The run of the process that it was sent to.
+    sent: Option<u64>,
+    reply: oneshot::Sender<Outcome>,
+}
+
+/// A request under way to another host. Dropping it cancels the request.
+#[derive(Debug)]
+pub(super) struct Ticket {
+    id: u64,
+    address: SocketAddr,
+    inner: Arc<Mutex<HashMap<SocketAddr, Peer>>>,
+    outcome: oneshot::Receiver<Outcome>,
+}
+
+impl Ticket {
+    /// How the request ended.
+    pub(super) async fn outcome(&mut self) -> Outcome {
+        match (&mut self.outcome).await {
+            Ok(outcome) => outcome,
+            Err(_) => Outcome::Unknown {
+                detail: Name::from("the link was closed"),
+                load: Load::default(),
+            },
+        }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut peers = lock(&self.inner);
+        let Some(peer) = peers.get_mut(&self.address) else {
+            return;
+        };
+        if let Some(open) = peer.open.remove(&self.id)
+            && open.sent.is_some()
+            && let Some(port) = &peer.port
+        {
+            port.send(Frame::Cancel { id: self.id });
+        }
+    }
+}
+
+impl Peers {
+    pub(super) fn new(hello: Hello, clock: Clock, stop: CancellationToken) -> Self {
+        Self {
+            hello,
+            clock,
+            stop,
+            next: AtomicU64::new(1),
+            inner: Arc::default(),
+        }
+    }
+
+    /// A number for a request.
+    pub(super) fn number(&self) -> u64 {
+        self.next.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Whether no request is under way.
+    pub(super) fn is_idle(&self) -> bool {
+        lock(&self.inner).values().all(|peer| peer.open.is_empty())
+    }
+
+    /// Offers a request to another host.
+    pub(super) fn offer(&self, now: Duration, address: SocketAddr, offer: Offer) -> Ticket {
+        let (reply, outcome) = oneshot::channel();
+        let id = offer.id;
+        let mut peers = lock(&self.inner);
+        let peer = peers.entry(address).or_insert_with(|| {
+            let sink = Outbound {
+                address,
+                clock: self.clock,
+                inner: Arc::clone(&self.inner),
+            };
+            Peer {
+                link: Link::open(address, self.hello.clone(), sink, self.stop.child_token()),
+                port: None,
+                session: None,
+                down: now,
+                open: HashMap::new(),
+            }
+        });
+        let mut open = Open {
+            offer,
+            since: now,
+            sent: None,
+            reply,
+        };
+        if let Some(port) = &peer.port {
+            open.sent = peer.session;
+            port.send(Frame::Offer(open.offer.clone()));
+        }
+        peer.open.insert(id, open);
+        Ticket {
+            id,
+            address,
+            inner: Arc::clone(&self.inner),
+            outcome,
+        }
+    }
+
+    /// Closes links to hosts that are no longer known.
+    pub(super) fn keep(&self, addresses: &BTreeSet<SocketAddr>) {
+        lock(&self.inner).retain(|address, peer| {
+            let keep = addresses.contains(address) || !peer.open.is_empty();
+            if !keep {
+                peer.link.close();
+            }
+            keep
+        });
+    }
+
+    /// Ends requests that have no connection for too long.
+    pub(super) fn look(&self, now: Duration) {
+        for peer in lock(&self.inner).values_mut() {
+            if peer.port.is_some() {
+                continue;
+            }
+            let is_refused = peer.link.is_refused();
+            let is_lost = now.saturating_sub(peer.down) > LOST;
+            let late = peer.open.extract_if(|_, open| match open.sent {
+                None => is_refused || now.saturating_sub(open.since) > CONNECT,
+                Some(_) => open.offer.repeatable && is_lost,
+            });
+            for (_, open) in late.collect::<Vec<_>>() {
+                open.end_unreachable();
+            }
+        }
+    }
+}
+
+impl Open {
+    /// Ends a request whose host is out of reach.
+    fn end_unreachable(self) {
+        let outcome = if self.sent.is_some() {
+            Outcome::Unknown {
+                detail: Name::from("the host is out of reach"),
+                load: Load::default(),
+            }
+        } else {
+            Outcome::Rejected {
+                reason: Reason::Unreachable,
+                retry: 0,
+                arrived: false,
+                load: Load::default(),
+            }
+        };
+        // The caller may have left.
+        let _ = self.reply.send(outcome);
+    }
+}
+
+/// The side of a link that was opened here.
+#[derive(Debug, Clone)]
+struct Outbound {
+    address: SocketAddr,
+    clock: Clock,
+    inner: Arc<Mutex<HashMap<SocketAddr, Peer>>>,
+}
+
+impl Sink for Outbound {
+    fn receive(&self, port: &Port, frame: Frame) {
+        match frame {
+            Frame::Outcome { id, outcome } => {
+                let mut peers = lock(&self.inner);
+                let open = peers
+                    .get_mut(&self.address)
+                    .and_then(|peer| peer.open.remove(&id));
+                if let Some(open) = open {
+                    // The caller may have left.
+                    let _ = open.reply.send(outcome);
+                }
+            }
+            _ => warn!(event = "frame-unexpected", peer = %port.hello.address),
+        }
+    }
+
+    fn up(&self, port: &Port) {
+        let mut peers = lock(&self.inner);
+        let Some(peer) = peers.get_mut(&self.address) else {
+            return;
+        };
+        let session = port.hello.session;
+        peer.port = Some(port.clone());
+        peer.session = Some(session);
+        let former = peer
+            .open
+            .extract_if(|_, open| open.sent.is_some_and(|sent| sent != session));
+        for (_, open) in former.collect::<Vec<_>>() {
+            info!(event = "peer-restarted", peer = %self.address, request = %open.offer.request);
+            open.end_unreachable();
+        }
+        // What was sent on a lost connection is sent again; the other side
+        // runs each request once.
+        let now = self.clock.now();
+        for open in peer.open.values_mut() {
+            open.sent = Some(session);
+            let spent = millis(now.saturating_sub(open.since));
+            let mut offer = open.offer.clone();
+            offer.deadline = offer.deadline.saturating_sub(spent);
+            offer.objective = offer.objective.saturating_sub(spent);
+            port.send(Frame::Offer(offer));
+        }
+    }
+
+    fn down(&self, port: &Port) {
+        let mut peers = lock(&self.inner);
+        if let Some(peer) = peers.get_mut(&self.address)
+            && peer.port.as_ref().is_some_and(|other| other.is(port))
+        {
+            peer.port = None;
+            peer.down = self.clock.now();
+        }
+    }
+}
+
+/// The side of a link that another host opened.
+#[derive(Debug)]
+pub(super) struct Inbound<D> {
+    host: Arc<Host>,
+    dialect: PhantomData<D>,
+}
+
+impl<D> Clone for Inbound<D> {
+    fn clone(&self) -> Self {
+        Self {
+            host: Arc::clone(&self.host),
+            dialect: PhantomData,
+        }
+    }
+}
+
+impl<D: Dialect> Inbound<D> {
+    pub(super) fn new(host: Arc<Host>) -> Self {
+        Self {
+            host,
+            dialect: PhantomData,
+        }
+    }
+}
+
+impl<D: Dialect> Sink for Inbound<D> {
+    fn receive(&self, port: &Port, frame: Frame) {
+        let key = |id| Key {
+            host: port.hello.address,
+            session: port.hello.session,
+            id,
+        };
+        match frame {
+            Frame::Offer(offer) => {
+                let reply = Reply::Port(port.clone());
+                self.host.offer::<D>(key(offer.id), offer, reply);
+            }
+            Frame::Cancel { id } => self.host.cancel::<D>(key(id)),
+            _ => warn!(event = "frame-unexpected", peer = %port.hello.address),
+        }
+    }
+
+    fn up(&self, _: &Port) {}
+
+    fn down(&self, _: &Port) {}
+}
--- /dev/null
+++ b/wisteriaglade-fleet/src/host/ready.rs
@@ -0,0 +1,34 @@
+//! Whether callers may be sent to this host.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use super::Host;
+use crate::{read, server::Service};
+
+/// Answers whether callers may be sent to this host.
+#[derive(Debug, Clone)]
+pub(super) struct Ready {
+    host: Arc<Host>,
+}
+
+impl Ready {
+    pub(super) fn new(host: Arc<Host>) -> Self {
+        Self { host }
+    }
+}
+
+impl Service for Ready {
+    async fn answer(&self, _: SocketAddr, _: Request<Incoming>) -> Response<Full<Bytes>> {
+        let is_ready = read(&self.host.view).is_ready() && !self.host.is_leaving();
+        let mut response = Response::new(Full::default());
+        if !is_ready {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    }
+}
--- /dev/null
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -0,0 +1,220 @@
+//! What a host knows of its own target.
+
+use std::time::Duration;
+
+use tracing::info;
+use wisteriaglade_mesh::{Condition, Directory, Grant, Guard, Owner, TargetReport};
+use wisteriaglade_types::Name;
+
+use super::heat::Heat;
+use crate::dialect::Beat;
+
+/// Heartbeats that may be missing before a target counts as silent.
+const MISSED: f64 = 2.6;
+
+/// What a host knows of its own target.
+#[derive(Debug)]
+pub(super) struct Tracker {
+    beat: Duration,
+    known: Option<Known>,
+    guard: Guard,
+    heat: Heat,
+    /// The key ranges of the last directory, for a target that announces
+    /// itself later.
+    directory: Directory,
+}
+
+#[derive(Debug)]
+struct Known {
+    owner: Owner,
+    pool: Name,
+    slots: u32,
+    seq: u64,
+    heard: Duration,
+    /// Since when it is leaving.
+    draining: Option<Duration>,
+    condition: Condition,
+}
+
+impl Tracker {
+    pub(super) fn new(beat: Duration) -> Self {
+        Self {
+            beat,
+            known: None,
+            guard: Guard::default(),
+            heat: Heat::default(),
+            directory: Directory::default(),
+        }
+    }
+
+    /// The target, once it has announced itself.
+    pub(super) fn owner(&self) -> Option<&Owner> {
+        self.known.as_ref().map(|known| &known.owner)
+    }
+
+    /// Whether the target runs as far as its heartbeats tell.
+    pub(super) fn condition(&self) -> Option<Condition> {
+        self.known.as_ref().map(|known| known.condition)
+    }
+
+    /// Requests that the target runs at the same time.
+    pub(super) fn slots(&self) -> u32 {
+        self.known.as_ref().map_or(1, |known| known.slots)
+    }
+
+    /// How long the target has been leaving.
+    pub(super) fn draining(&self, now: Duration) -> Option<Duration> {
+        let since = self.known.as_ref()?.draining?;
+        Some(now.saturating_sub(since))
+    }
+
+    /// Whether the target holds a key.
+    pub(super) fn holds(&self, key: u16) -> bool {
+        self.guard.holds(key)
+    }
+
+    /// Notes a request for a key.
+    pub(super) fn note(&mut self, key: u16) {
+        self.heat.note(key);
+    }
+
+    /// How long the lease lasts.
+    pub(super) fn lease_left(&self, now: Duration) -> Duration {
+        self.guard.lease_left(now)
+    }
+
+    /// Takes a lease for a report sent at `sent`, if the target is still the
+    /// one that the report was about.
+    pub(super) fn lease(&mut self, sent: Duration, length: Duration) {
+        if !matches!(self.condition(), Some(Condition::Silent | Condition::Gone)) {
+            self.guard.lease(sent, length);
+        }
+    }
+
+    /// Takes a directory.
+    pub(super) fn update(&mut self, directory: &Directory) {
+        if directory.index >= self.directory.index {
+            self.directory = Directory {
+                entries: Vec::new(),
+                ..directory.clone()
+            };
+        }
+        self.guard.update(directory);
+    }
+
+    /// Takes a heartbeat. Returns the grant and whether the leader should hear
+    /// of it at once; `None` for a heartbeat of a former life.
+    pub(super) fn beat(
+        &mut self,
+        now: Duration,
+        beat: &Beat,
+        limit: Duration,
+    ) -> Option<(Option<Grant>, bool)> {
+        let owner = Owner {
+            target: beat.target.clone(),
+            born: beat.born,
+        };
+        let mut news = false;
+        let is_other = self.known.as_ref().is_none_or(|known| known.owner != owner);
+        if is_other {
+            if let Some(known) = &self.known
+                && known.owner.born > owner.born
+            {
+                info!(event = "beat-stale", target = %owner.target, born = owner.born);
+                return None;
+            }
+            info!(event = "target", target = %owner.target, born = owner.born, pool = %beat.pool, slots = beat.slots);
+            news = true;
+            self.heat = Heat::default();
+            self.known = Some(Known {
+                owner: owner.clone(),
+                pool: beat.pool.clone(),
+                slots: beat.slots,
+                seq: beat.seq,
+                heard: now,
+                draining: None,
+                condition: Condition::Ready,
+            });
+        }
+        let known = self.known.as_mut()?;
+        if beat.seq < known.seq {
+            info!(event = "beat-late", target = %owner.target, seq = beat.seq, known = known.seq);
+            return None;
+        }
+        known.seq = beat.seq;
+        known.heard = now;
+        known.slots = beat.slots;
+        known.pool = beat.pool.clone();
+        let is_draining = beat.draining || known.draining.is_some();
+        let condition = if is_draining {
+            Condition::Draining
+        } else {
+            Condition::Ready
+        };
+        if is_draining && known.draining.is_none() {
+            info!(event = "target-draining", target = %owner.target);
+            known.draining = Some(now);
+        }
+        news |= known.condition != condition;
+        known.condition = condition;
+        let before = self.guard.released().len();
+        let grant = self
+            .guard
+            .beat(now, &owner, &beat.holds, &beat.released, limit);
+        if is_other {
+            // The guard knows nothing of the new target yet.
+            self.guard.update(&self.directory);
+        }
+        news |= self.guard.released().len() > before;
+        Some((grant, news))
+    }
+
+    /// Takes a farewell.
+    pub(super) fn leave(&mut self, now: Duration, target: &str, born: u64) -> bool {
+        let Some(known) = &mut self.known else {
+            return false;
+        };
+        if known.owner.target.as_str() != target || known.owner.born != born {
+            return false;
+        }
+        info!(event = "target-leaves", target = %target, announced = known.draining.is_some());
+        known.draining.get_or_insert(now);
+        known.condition = Condition::Draining;
+        true
+    }
+
+    /// Notes that time has passed. Returns whether the leader should hear of
+    /// it at once.
+    pub(super) fn look(&mut self, now: Duration) -> bool {
+        self.heat.look(now);
+        let silence = self.beat.mul_f64(MISSED);
+        let Some(known) = &mut self.known else {
+            return false;
+        };
+        let is_silent = now.saturating_sub(known.heard) > silence;
+        if !is_silent || matches!(known.condition, Condition::Silent | Condition::Gone) {
+            return false;
+        }
+        info!(
+            event = "target-silent",
+            target = %known.owner.target,
+            heard_ms_ago = now.saturating_sub(known.heard).as_millis()
+        );
+        known.condition = Condition::Silent;
+        self.guard.drop_lease();
+        true
+    }
+
+    /// What the leader is told.
+    pub(super) fn report(&self, _: Duration) -> Option<TargetReport> {
+        let known = self.known.as_ref()?;
+        Some(TargetReport {
+            owner: known.owner.clone(),
+            pool: known.pool.clone(),
+            slots: known.slots,
+            condition: known.condition,
+            released: self.guard.released().to_vec(),
+            heat: self.heat.top(),
+        })
+    }
+}
--- /dev/null
+++ b/wisteriaglade-fleet/src/metrics.rs
@@ -0,0 +1,156 @@
+//! Counters and histograms.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+use tracing::warn;
+
+use crate::server::Service;
+
+/// Buckets of latency histograms in seconds, from a hop to the longest limit
+/// of the rules.
+const BUCKETS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 5.0,
+];
+
+/// What a counter of requests is divided by.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Ended {
+    /// The rule, or `-`.
+    pub(crate) rule: String,
+    /// How the request ended.
+    pub(crate) outcome: &'static str,
+}
+
+/// What a counter of rejections is divided by.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Why {
+    /// The reason.
+    pub(crate) reason: &'static str,
+}
+
+/// The counters of a process.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) requests: Family<Ended, Counter>,
+    pub(crate) rejections: Family<Why, Counter>,
+    pub(crate) repeats: Counter,
+    pub(crate) latency: Histogram,
+    pub(crate) waited: Histogram,
+    pub(crate) target: Histogram,
+    pub(crate) running: Gauge,
+    pub(crate) waiting: Gauge,
+    pub(crate) plan: Gauge,
+    pub(crate) directory: Gauge,
+    pub(crate) lease: Gauge,
+    pub(crate) leading: Gauge,
+    pub(crate) log_index: Gauge,
+}
+
+impl Metrics {
+    /// The metrics of a new process.
+    pub(crate) fn new() -> Arc<Self> {
+        let latency = || Histogram::new(BUCKETS);
+        let mut metrics = Self {
+            registry: Registry::with_prefix("wisteriaglade"),
+            requests: Family::default(),
+            rejections: Family::default(),
+            repeats: Counter::default(),
+            latency: latency(),
+            waited: latency(),
+            target: latency(),
+            running: Gauge::default(),
+            waiting: Gauge::default(),
+            plan: Gauge::default(),
+            directory: Gauge::default(),
+            lease: Gauge::default(),
+            leading: Gauge::default(),
+            log_index: Gauge::default(),
+        };
+        metrics.register();
+        Arc::new(metrics)
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests of callers", self.requests.clone());
+        registry.register(
+            "rejections",
+            "Requests that the target's host rejected",
+            self.rejections.clone(),
+        );
+        registry.register(
+            "repeats",
+            "Requests sent to a second target",
+            self.repeats.clone(),
+        );
+        registry.register(
+            "request_seconds",
+            "From the request to the answer",
+            self.latency.clone(),
+        );
+        registry.register(
+            "queue_seconds",
+            "Time in the queue of the target's host",
+            self.waited.clone(),
+        );
+        registry.register("target_seconds", "Time of the target", self.target.clone());
+        registry.register(
+            "target_running",
+            "Requests that the target runs",
+            self.running.clone(),
+        );
+        registry.register(
+            "target_waiting",
+            "Requests that wait for the target",
+            self.waiting.clone(),
+        );
+        registry.register("plan_version", "The plan in force", self.plan.clone());
+        registry.register(
+            "directory_index",
+            "The log entry that the directory reflects",
+            self.directory.clone(),
+        );
+        registry.register(
+            "lease_milliseconds",
+            "How long the lease of the target's keys lasts",
+            self.lease.clone(),
+        );
+        registry.register(
+            "leading",
+            "Whether this control replica leads",
+            self.leading.clone(),
+        );
+        registry.register(
+            "log_index",
+            "The last applied entry of the control log",
+            self.log_index.clone(),
+        );
+    }
+}
+
+/// Serves the metrics as text.
+#[derive(Debug, Clone)]
+pub(crate) struct Page(pub(crate) Arc<Metrics>);
+
+impl Service for Page {
+    async fn answer(&self, _: SocketAddr, _: Request<Incoming>) -> Response<Full<Bytes>> {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.0.registry) {
+            warn!(event = "metrics-unencodable", error = %error);
+            let mut response = Response::new(Full::default());
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            return response;
+        }
+        Response::new(Full::new(Bytes::from(text)))
+    }
+}
--- /dev/null
+++ b/wisteriaglade-mesh/src/keyspace.rs
@@ -0,0 +1,123 @@
+//! The key ranges of a pool.
+
+use serde::{Deserialize, Serialize};
+use wisteriaglade_types::Name;
+
+use crate::{Owner, Range, Span};
+
+/// All key ranges of a pool, in order and without gaps.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Keyspace {
+    ranges: Vec<Range>,
+}
+
+impl Default for Keyspace {
+    fn default() -> Self {
+        Self {
+            ranges: vec![Range {
+                span: Span::ALL,
+                owner: None,
+                fence: 0,
+                handover: Name::from(""),
+                next: None,
+            }],
+        }
+    }
+}
+
+impl Keyspace {
+    /// The ranges in ascending order.
+    #[must_use]
+    pub fn ranges(&self) -> &[Range] {
+        &self.ranges
+    }
+
+    /// Whether no key was ever granted.
+    #[must_use]
+    pub fn is_new(&self) -> bool {
+        self.ranges.iter().all(|range| range.fence == 0)
+    }
+
+    /// Gives the unowned keys of each span to an owner, with a new fencing
+    /// token.
+    pub(crate) fn grant(&mut self, fence: u64, grants: &[(Span, Owner)]) {
+        for (span, owner) in grants {
+            self.change(*span, |range| {
+                if range.owner.is_none() {
+                    range.owner = Some(owner.clone());
+                    range.fence = fence;
+                    range.next = None;
+                }
+            });
+        }
+    }
+
+    /// Asks the holders of each span to pass it on.
+    pub(crate) fn shift(&mut self, moves: &[(Span, Owner)]) {
+        for (span, to) in moves {
+            self.change(*span, |range| {
+                if range.owner.as_ref().is_some_and(|owner| owner != to) {
+                    range.next = Some(to.clone());
+                }
+            });
+        }
+    }
+
+    /// Takes the keys that their holder has released. They go to the next
+    /// holder at once, if there is one.
+    pub(crate) fn free(&mut self, fence: u64, owner: &Owner, rows: &[(Span, u64, Name)]) {
+        for (span, held, handover) in rows {
+            self.change(*span, |range| {
+                if range.owner.as_ref() == Some(owner) && range.fence == *held {
+                    range.owner = range.next.take();
+                    range.handover = handover.clone();
+                    if range.owner.is_some() {
+                        range.fence = fence;
+                    }
+                }
+            });
+        }
+    }
+
+    /// Takes everything from a holder that no longer runs or whose holds have
+    /// ended.
+    pub(crate) fn forget(&mut self, fence: u64, owner: &Owner) {
+        self.change(Span::ALL, |range| {
+            if range.next.as_ref() == Some(owner) {
+                range.next = None;
+            }
+            if range.owner.as_ref() == Some(owner) {
+                range.owner = range.next.take();
+                range.handover = Name::from("");
+                if range.owner.is_some() {
+                    range.fence = fence;
+                }
+            }
+        });
+    }
+
+    /// Changes the part of each range that lies in a span.
+    fn change(&mut self, span: Span, mut edit: impl FnMut(&mut Range)) {
+        let mut ranges: Vec<Range> = Vec::with_capacity(self.ranges.len() + 2);
+        let mut push = |range: Range| match ranges.last_mut() {
+            Some(last) if last.joins(&range) => last.span.to = range.span.to,
+            _ => ranges.push(range),
+        };
+        for range in self.ranges.drain(..) {
+            let Some(inside) = range.span.overlap(span) else {
+                push(range);
+                continue;
+            };
+            if range.span.from < inside.from {
+                push(range.cut(Span::new(range.span.from, inside.from - 1)));
+            }
+            let mut part = range.cut(inside);
+            edit(&mut part);
+            push(part);
+            if inside.to < range.span.to {
+                push(range.cut(Span::new(inside.to + 1, range.span.to)));
+            }
+        }
+        self.ranges = ranges;
+    }
+}
--- /dev/null
+++ b/wisteriaglade-mesh/src/planner.rs
@@ -0,0 +1,374 @@
+//! The leader's decisions about key ranges.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use wisteriaglade_types::Name;
+
+use crate::{Command, Condition, Keyspace, Owner, Pool, Roster, Span, State};
+
+/// Ranges for each target of a new pool. Busy keys lie close together, so
+/// neighbouring ranges go to different targets; a heartbeat's answer holds at
+/// most 4 KiB.
+const STRIPES: u32 = 16;
+
+/// How long the set of targets of a new pool has to stay the same before its
+/// keys are divided, so that the last target to announce itself gets a share.
+const SETTLE: Duration = Duration::from_millis(1200);
+
+/// A host that has not reported for this long takes no keys.
+const FRESH: Duration = Duration::from_millis(2000);
+
+/// A target's clock may run 2% slow, and the leader's fast; 4% cover both.
+const DRIFT: f64 = 1.04;
+
+/// Added to each wait for a lease, for timers that fire early or late.
+const SLACK: Duration = Duration::from_millis(300);
+
+/// Moves that one pass starts, so that a large change does not halt all keys
+/// at once.
+const MOVES: usize = 8;
+
+/// How many times the mean of the pool a target's measured load has to be
+/// before ranges move away from it.
+const OVERLOAD: f64 = 1.35;
+
+/// Requests a second below which a difference of loads is left alone.
+const RATE_MIN: f64 = 15.0;
+
+/// The shortest time between two moves for balance in a pool. Reports of the
+/// new load have to arrive in between.
+const REBALANCE: Duration = Duration::from_millis(2500);
+
+/// A target that may take keys.
+struct Taker {
+    owner: Owner,
+    slots: f64,
+    keys: f64,
+    rate: f64,
+}
+
+/// The leader's decisions about key ranges.
+#[derive(Debug)]
+pub struct Planner {
+    /// How long a host's lease lasts.
+    lease: Duration,
+    /// Since when each new pool has had the same targets.
+    settled: BTreeMap<Name, (Vec<Owner>, Duration)>,
+    /// When ranges last moved for balance.
+    balanced: BTreeMap<Name, Duration>,
+}
+
+impl Planner {
+    /// A planner for leases of a length.
+    #[must_use]
+    pub fn new(lease: Duration) -> Self {
+        Self {
+            lease,
+            settled: BTreeMap::new(),
+            balanced: BTreeMap::new(),
+        }
+    }
+
+    /// The commands that are due. Call it again only when these are applied.
+    pub fn step(&mut self, now: Duration, state: &State, roster: &Roster) -> Vec<Command> {
+        let mut commands = self.forget(now, state, roster);
+        if !commands.is_empty() {
+            return commands;
+        }
+        for pool in state.plan().pools.iter().filter(|pool| pool.sharded) {
+            let fallback = Keyspace::default();
+            let keyspace = state.keyspaces().get(&pool.name).unwrap_or(&fallback);
+            if let Some(command) = free(pool, keyspace, roster) {
+                commands.push(command);
+                continue;
+            }
+            commands.extend(self.place(now, pool, keyspace, roster));
+        }
+        commands
+    }
+
+    /// Takes the keys of targets that hold nothing any more.
+    fn forget(&self, now: Duration, state: &State, roster: &Roster) -> Vec<Command> {
+        let mut owners: Vec<&Owner> = Vec::new();
+        for range in state.keyspaces().values().flat_map(Keyspace::ranges) {
+            for owner in [&range.owner, &range.next].into_iter().flatten() {
+                if !owners.contains(&owner) {
+                    owners.push(owner);
+                }
+            }
+        }
+        owners
+            .into_iter()
+            .filter(|owner| self.is_over(now, owner, roster))
+            .map(|owner| Command::Forget {
+                owner: owner.clone(),
+            })
+            .collect()
+    }
+
+    /// Whether every hold of a target is over.
+    fn is_over(&self, now: Duration, owner: &Owner, roster: &Roster) -> bool {
+        if roster.ended().contains(owner) {
+            return true;
+        }
+        let wait = self.lease.mul_f64(DRIFT) + SLACK;
+        let record = roster.records().find(|record| {
+            let target = record.report.target.as_ref();
+            target.is_some_and(|target| target.owner == *owner)
+        });
+        // An earlier leader may have given a lease until this one began.
+        let leased = record
+            .and_then(|record| record.leased)
+            .unwrap_or(roster.since());
+        let silent = record.is_none_or(|record| {
+            let target = record.report.target.as_ref();
+            now.saturating_sub(record.seen) > FRESH
+                || target.is_some_and(|target| target.condition == Condition::Silent)
+        });
+        silent && now.saturating_sub(leased) > wait
+    }
+
+    fn place(
+        &mut self,
+        now: Duration,
+        pool: &Pool,
+        keyspace: &Keyspace,
+        roster: &Roster,
+    ) -> Option<Command> {
+        let mut takers = takers(now, pool, keyspace, roster);
+        if takers.is_empty() {
+            return None;
+        }
+        if keyspace.is_new() {
+            return self.divide(now, pool, &takers);
+        }
+        let name = pool.name.clone();
+        let mut grants = Vec::new();
+        let mut moves = Vec::new();
+        for range in keyspace.ranges() {
+            match &range.owner {
+                None => {
+                    let taker = lightest(&mut takers);
+                    taker.keys += f64::from(range.span.len());
+                    grants.push((range.span, taker.owner.clone()));
+                }
+                Some(owner) if range.next.is_none() && moves.len() < MOVES => {
+                    if takers.iter().all(|taker| taker.owner != *owner) && is_leaving(owner, roster)
+                    {
+                        let taker = lightest(&mut takers);
+                        taker.keys += f64::from(range.span.len());
+                        moves.push((range.span, taker.owner.clone()));
+                    }
+                }
+                Some(_) => {}
+            }
+        }
+        if !grants.is_empty() {
+            return Some(Command::Grant { pool: name, grants });
+        }
+        if moves.is_empty() {
+            moves = self.balance(now, &name, keyspace, &mut takers, roster);
+        }
+        (!moves.is_empty()).then_some(Command::Shift { pool: name, moves })
+    }
+
+    /// Divides a new pool once its targets have announced themselves.
+    fn divide(&mut self, now: Duration, pool: &Pool, takers: &[Taker]) -> Option<Command> {
+        let owners: Vec<_> = takers.iter().map(|taker| taker.owner.clone()).collect();
+        let entry = self.settled.entry(pool.name.clone());
+        let (known, since) = entry.or_insert_with(|| (owners.clone(), now));
+        if *known != owners {
+            *known = owners;
+            *since = now;
+        }
+        if now.saturating_sub(*since) < SETTLE {
+            return None;
+        }
+        let count = u32::try_from(takers.len()).unwrap_or(1) * STRIPES;
+        let edge = |stripe: u32| u16::try_from(65_536 * u64::from(stripe) / u64::from(count));
+        let grants = (0..count)
+            .filter_map(|stripe| {
+                let to = edge(stripe + 1).map_or(u16::MAX, |next| next - 1);
+                let taker = &takers[stripe as usize % takers.len()];
+                Some((Span::new(edge(stripe).ok()?, to), taker.owner.clone()))
+            })
+            .collect();
+        let pool = pool.name.clone();
+        Some(Command::Grant { pool, grants })
+    }
+
+    /// Moves ranges to targets without any, and away from targets with far
+    /// more load than the others.
+    fn balance(
+        &mut self,
+        now: Duration,
+        pool: &Name,
+        keyspace: &Keyspace,
+        takers: &mut [Taker],
+        roster: &Roster,
+    ) -> Vec<(Span, Owner)> {
+        if keyspace.ranges().iter().any(|range| range.next.is_some()) {
+            return Vec::new();
+        }
+        let moves = newcomers(keyspace, takers);
+        if !moves.is_empty() {
+            return moves;
+        }
+        let last = self.balanced.get(pool).copied();
+        if last.is_some_and(|at| now.saturating_sub(at) < REBALANCE) {
+            return Vec::new();
+        }
+        let moves = relieve(keyspace, takers, roster);
+        if !moves.is_empty() {
+            self.balanced.insert(pool.clone(), now);
+        }
+        moves
+    }
+}
+
+/// What a target has released and the log does not show yet.
+fn free(pool: &Pool, keyspace: &Keyspace, roster: &Roster) -> Option<Command> {
+    roster.records().find_map(|record| {
+        let target = record.report.target.as_ref()?;
+        let rows: Vec<_> = target
+            .released
+            .iter()
+            .filter(|(span, fence, _)| {
+                keyspace.ranges().iter().any(|range| {
+                    range.owner.as_ref() == Some(&target.owner)
+                        && range.fence == *fence
+                        && range.span.overlap(*span).is_some()
+                })
+            })
+            .cloned()
+            .collect();
+        (!rows.is_empty() && target.pool == pool.name).then(|| Command::Free {
+            pool: pool.name.clone(),
+            owner: target.owner.clone(),
+            rows,
+        })
+    })
+}
+
+/// The targets that may take keys of a pool.
+fn takers(now: Duration, pool: &Pool, keyspace: &Keyspace, roster: &Roster) -> Vec<Taker> {
+    let mut takers = Vec::new();
+    for record in roster.records() {
+        let Some(target) = &record.report.target else {
+            continue;
+        };
+        let is_fresh = now.saturating_sub(record.seen) <= FRESH;
+        let is_ready = target.condition == Condition::Ready && !record.report.leaving;
+        if target.pool != pool.name
+            || !is_fresh
+            || !is_ready
+            || roster.ended().contains(&target.owner)
+        {
+            continue;
+        }
+        let mine = |range: &&crate::Range| {
+            range.next.as_ref().or(range.owner.as_ref()) == Some(&target.owner)
+        };
+        let keys = keyspace.ranges().iter().filter(mine);
+        takers.push(Taker {
+            owner: target.owner.clone(),
+            slots: f64::from(target.slots.max(1)),
+            keys: keys.map(|range| f64::from(range.span.len())).sum(),
+            rate: target.heat.iter().map(|(_, rate)| f64::from(*rate)).sum(),
+        });
+    }
+    takers
+}
+
+/// The taker with the fewest keys for its size.
+fn lightest(takers: &mut [Taker]) -> &mut Taker {
+    takers
+        .iter_mut()
+        .min_by(|a, b| (a.keys / a.slots).total_cmp(&(b.keys / b.slots)))
+        .expect("the caller has checked that a target may take keys")
+}
+
+/// Whether a target is about to end. One that is only silent keeps its keys
+/// until its holds are over.
+fn is_leaving(owner: &Owner, roster: &Roster) -> bool {
+    roster.records().any(|record| {
+        let target = record.report.target.as_ref();
+        target
+            .is_some_and(|target| target.owner == *owner && target.condition == Condition::Draining)
+    })
+}
+
+/// Ranges for targets that have none.
+fn newcomers(keyspace: &Keyspace, takers: &mut [Taker]) -> Vec<(Span, Owner)> {
+    let slots: f64 = takers.iter().map(|taker| taker.slots).sum();
+    let mut moves: Vec<(Span, Owner)> = Vec::new();
+    while moves.len() < MOVES {
+        let Some(empty) = takers.iter().position(|taker| {
+            let fair = 65_536.0 * taker.slots / slots;
+            taker.keys < fair * 0.5 && takers.len() > 1
+        }) else {
+            break;
+        };
+        let Some(full) = (0..takers.len()).filter(|at| *at != empty).max_by(|a, b| {
+            let weight = |at: usize| takers[at].keys / takers[at].slots;
+            weight(*a).total_cmp(&weight(*b))
+        }) else {
+            break;
+        };
+        let range = keyspace.ranges().iter().find(|range| {
+            range.owner.as_ref() == Some(&takers[full].owner)
+                && moves.iter().all(|(span, _)| *span != range.span)
+        });
+        let Some(range) = range else { break };
+        let length = f64::from(range.span.len());
+        takers[full].keys -= length;
+        takers[empty].keys += length;
+        moves.push((range.span, takers[empty].owner.clone()));
+    }
+    moves
+}
+
+/// Moves the hottest parts of the busiest target to the least busy one.
+fn relieve(keyspace: &Keyspace, takers: &[Taker], roster: &Roster) -> Vec<(Span, Owner)> {
+    let use_of = |taker: &Taker| taker.rate / taker.slots;
+    let Some(busy) = takers.iter().max_by(|a, b| use_of(a).total_cmp(&use_of(b))) else {
+        return Vec::new();
+    };
+    let Some(calm) = takers.iter().min_by(|a, b| use_of(a).total_cmp(&use_of(b))) else {
+        return Vec::new();
+    };
+    let total: f64 = takers.iter().map(|taker| taker.rate).sum();
+    let slots: f64 = takers.iter().map(|taker| taker.slots).sum();
+    let mean = total / slots;
+    if busy.rate < RATE_MIN || use_of(busy) < mean * OVERLOAD {
+        return Vec::new();
+    }
+    let heat = roster.records().find_map(|record| {
+        let target = record.report.target.as_ref()?;
+        (target.owner == busy.owner).then_some(&target.heat)
+    });
+    let mut heat = heat.cloned().unwrap_or_default();
+    heat.sort_by(|a, b| b.1.total_cmp(&a.1));
+    let mut excess = (use_of(busy) - mean).min(mean - use_of(calm)) * busy.slots;
+    let mut moves = Vec::new();
+    for (key, rate) in heat {
+        let rate = f64::from(rate);
+        // A part hotter than the excess would only move the overload.
+        if rate > excess || moves.len() >= MOVES {
+            continue;
+        }
+        let part = Span::new(key, key.saturating_add(HEAT_KEYS - 1));
+        let range = keyspace
+            .ranges()
+            .iter()
+            .find(|range| range.span.contains(key) && range.owner.as_ref() == Some(&busy.owner));
+        if let Some(span) = range.and_then(|range| range.span.overlap(part)) {
+            excess -= rate;
+            moves.push((span, calm.owner.clone()));
+        }
+    }
+    moves
+}
+
+/// Keys in one part of the load reports.
+pub(crate) const HEAT_KEYS: u16 = 64;
--- /dev/null
+++ b/wisteriaglade-mesh/src/queue.rs
@@ -0,0 +1,345 @@
+//! Admission of requests to one target.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+/// The weight of a new sample in a mean.
+const GAIN: f64 = 0.1;
+
+/// The mean time of a request before any was measured.
+const FIRST: Duration = Duration::from_millis(100);
+
+/// Waiting requests for each request that runs. More would wait longer than
+/// their callers do.
+const BACKLOG: f64 = 6.0;
+
+/// The shortest Retry-After: an earlier return finds the same queue.
+const RETURN_MIN: Duration = Duration::from_millis(50);
+
+/// A request that a host offers to a target.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// The number that the driver gave it.
+    pub id: u64,
+    /// The kind of work, for its mean time.
+    pub kind: u64,
+    /// The rank; 0 is the highest.
+    pub priority: u32,
+    /// Whether another request that runs already waits for it.
+    pub nested: bool,
+    /// When its answer stops being worth most.
+    pub objective: Duration,
+    /// When its caller leaves.
+    pub deadline: Duration,
+    /// Whether it may wait for a slot.
+    pub waits: bool,
+}
+
+/// What the queue decides.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Send the request to the target.
+    Start {
+        /// The request.
+        id: u64,
+        /// How long it has waited.
+        waited: Duration,
+    },
+    /// Tell the caller's host that it will not run.
+    Reject {
+        /// The request.
+        id: u64,
+        /// Why.
+        reason: Reason,
+        /// When room is expected.
+        retry: Duration,
+    },
+}
+
+/// Why a request is rejected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Reason {
+    /// No slot is free, and the request may not wait.
+    Full,
+    /// It could not be answered within its time.
+    Late,
+    /// Its time ended in the queue.
+    Expired,
+    /// The target takes no new work.
+    Draining,
+    /// The target does not hold the key.
+    NotHolder,
+    /// The target is another one, or another life of it.
+    NotTarget,
+    /// The target does not run.
+    Down,
+    /// The target rejected it.
+    Shed,
+    /// The host of the target cannot be reached.
+    Unreachable,
+    /// No target may serve it.
+    NoTarget,
+}
+
+impl Reason {
+    /// The word for logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::Late => "late",
+            Self::Expired => "expired",
+            Self::Draining => "draining",
+            Self::NotHolder => "not-holder",
+            Self::NotTarget => "not-target",
+            Self::Down => "down",
+            Self::Shed => "shed",
+            Self::Unreachable => "unreachable",
+            Self::NoTarget => "no-target",
+        }
+    }
+}
+
+/// How a request ended at the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finish {
+    /// It was answered.
+    Done,
+    /// The target rejected it without running it.
+    Shed,
+    /// The connection broke, or the answer was not one.
+    Broken,
+    /// The caller left or the deadline passed.
+    Cancelled,
+}
+
+/// How much a target has to do.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run at the same time.
+    pub limit: u32,
+    /// The mean time of a request in milliseconds.
+    pub mean: f32,
+}
+
+/// The order of waiting requests: nested ones first, then by rank, then by
+/// arrival.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    outer: bool,
+    priority: u32,
+    number: u64,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    arrival: Arrival,
+    since: Duration,
+}
+
+#[derive(Debug)]
+struct Running {
+    kind: u64,
+    since: Duration,
+}
+
+/// Decides which requests run at a target, which wait and which are rejected.
+#[derive(Debug)]
+pub struct Queue {
+    slots: u32,
+    limit: f64,
+    next: u64,
+    waiting: BTreeMap<Place, Waiting>,
+    running: HashMap<u64, Running>,
+    /// The mean time of each kind of work, in seconds.
+    means: HashMap<u64, f64>,
+    mean: f64,
+}
+
+impl Queue {
+    /// A queue for a target that runs `slots` requests at the same time.
+    #[must_use]
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots: slots.max(1),
+            limit: f64::from(slots.max(1)),
+            next: 0,
+            waiting: BTreeMap::new(),
+            running: HashMap::new(),
+            means: HashMap::new(),
+            mean: FIRST.as_secs_f64(),
+        }
+    }
+
+    /// Takes the number of slots that the target announces.
+    pub fn resize(&mut self, slots: u32) {
+        if slots.max(1) != self.slots {
+            self.slots = slots.max(1);
+            self.limit = f64::from(self.slots);
+        }
+    }
+
+    /// How much the target has to do.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        Load {
+            running: count(self.running.len()),
+            waiting: count(self.waiting.len()),
+            limit: self.room(),
+            mean: (self.mean * 1000.0) as f32,
+        }
+    }
+
+    /// Whether nothing runs or waits.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
+    /// Takes a request.
+    pub fn arrive(&mut self, now: Duration, arrival: Arrival, effects: &mut Vec<Effect>) {
+        self.expire(now, effects);
+        let id = arrival.id;
+        if self.running.len() < self.room() as usize && self.waiting.is_empty() {
+            let kind = arrival.kind;
+            self.running.insert(id, Running { kind, since: now });
+            effects.push(Effect::Start {
+                id,
+                waited: Duration::ZERO,
+            });
+            return;
+        }
+        let place = Place {
+            outer: !arrival.nested,
+            priority: arrival.priority,
+            number: self.next,
+        };
+        self.next += 1;
+        let wait = self.wait(now, place);
+        let retry = wait.max(RETURN_MIN);
+        let work = self.mean_of(arrival.kind);
+        let is_full = self.waiting.len() as f64 >= self.limit * BACKLOG;
+        let reason = if !arrival.waits {
+            Some(Reason::Full)
+        } else if is_full || now + wait + work > arrival.objective.min(arrival.deadline) {
+            Some(Reason::Late)
+        } else {
+            None
+        };
+        if let Some(reason) = reason {
+            effects.push(Effect::Reject { id, reason, retry });
+            return;
+        }
+        let since = now;
+        self.waiting.insert(place, Waiting { arrival, since });
+    }
+
+    /// Takes the end of a request that ran.
+    pub fn finish(&mut self, now: Duration, id: u64, finish: Finish, effects: &mut Vec<Effect>) {
+        if let Some(running) = self.running.remove(&id) {
+            if finish == Finish::Done {
+                let time = now.saturating_sub(running.since).as_secs_f64();
+                let mean = self.means.entry(running.kind).or_insert(time);
+                *mean += (time - *mean) * GAIN;
+                self.mean += (time - self.mean) * GAIN;
+            }
+        }
+        self.fill(now, effects);
+    }
+
+    /// Removes a request whose caller has left. Returns whether it was waiting.
+    pub fn leave(&mut self, id: u64) -> bool {
+        let place = self
+            .waiting
+            .iter()
+            .find(|(_, waiting)| waiting.arrival.id == id)
+            .map(|(place, _)| *place);
+        place.is_some_and(|place| self.waiting.remove(&place).is_some())
+    }
+
+    /// Rejects everything that waits.
+    pub fn clear(&mut self, reason: Reason, effects: &mut Vec<Effect>) {
+        for (_, waiting) in std::mem::take(&mut self.waiting) {
+            effects.push(Effect::Reject {
+                id: waiting.arrival.id,
+                reason,
+                retry: RETURN_MIN,
+            });
+        }
+    }
+
+    /// Rejects what can no longer be answered in time. Call it about every
+    /// 20 ms while requests wait.
+    pub fn expire(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        let mut late = Vec::new();
+        for (place, waiting) in &self.waiting {
+            let work = self.mean_of(waiting.arrival.kind).mul_f64(0.5);
+            if now + work > waiting.arrival.deadline {
+                late.push(*place);
+            }
+        }
+        for place in late {
+            if let Some(waiting) = self.waiting.remove(&place) {
+                effects.push(Effect::Reject {
+                    id: waiting.arrival.id,
+                    reason: Reason::Expired,
+                    retry: RETURN_MIN,
+                });
+            }
+        }
+    }
+
+    /// Starts waiting requests while slots are free.
+    fn fill(&mut self, now: Duration, effects: &mut Vec<Effect>) {
+        self.expire(now, effects);
+        while self.running.len() < self.room() as usize {
+            let Some((_, waiting)) = self.waiting.pop_first() else {
+                return;
+            };
+            let Arrival { id, kind, .. } = waiting.arrival;
+            self.running.insert(id, Running { kind, since: now });
+            let waited = now.saturating_sub(waiting.since);
+            effects.push(Effect::Start { id, waited });
+        }
+    }
+
+    /// How long a request at this place is expected to wait.
+    fn wait(&self, now: Duration, place: Place) -> Duration {
+        let ahead = self.waiting.range(..place);
+        let work: f64 = ahead
+            .map(|(_, waiting)| self.mean_of(waiting.arrival.kind).as_secs_f64())
+            .sum();
+        let left: f64 = self
+            .running
+            .values()
+            .map(|running| {
+                let mean = self.mean_of(running.kind).as_secs_f64();
+                let spent = now.saturating_sub(running.since).as_secs_f64();
+                (mean - spent).max(mean * 0.2)
+            })
+            .sum();
+        let room = f64::from(self.room());
+        // The next slot frees when the first of the running requests ends.
+        Duration::from_secs_f64(work / room + left / room / (room + 1.0))
+    }
+
+    fn mean_of(&self, kind: u64) -> Duration {
+        Duration::from_secs_f64(self.means.get(&kind).copied().unwrap_or(self.mean))
+    }
+
+    fn room(&self) -> u32 {
+        (self.limit as u32).max(1)
+    }
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
--- a/wisteriaglade-node/src/admission.rs
+++ b/wisteriaglade-node/src/admission.rs
@@ -13,7 +13,9 @@
 };
 use wisteriaglade_types::{Request, Shard};
 
-use crate::{clock::Clock, hot::Hot, lock};
+use wisteriaglade_wire::Clock;
+
+use crate::{hot::Hot, lock};
 
 /// What the reducer decided for a request that asked for admission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/wisteriaglade-node/src/admission/tests.rs
+++ b/wisteriaglade-node/src/admission/tests.rs
@@ -7,7 +7,7 @@
 use wisteriaglade_types::{Hash, Request, Shard};
 
 use super::{Admission, Ticket, Verdict};
-use crate::clock::Clock;
+use wisteriaglade_wire::Clock;
 
 /// An admission queue in front of a target with one slot.
 fn admission() -> Arc<Admission> {
--- a/wisteriaglade-node/src/context.rs
+++ b/wisteriaglade-node/src/context.rs
@@ -11,11 +11,10 @@
 use wisteriaglade_control::{Command, Grant, Target};
 use wisteriaglade_router::{Capacity, peer::Health, retry::Budget};
 use wisteriaglade_types::{Hash, Index, Name, Node};
-use wisteriaglade_wire::Key;
+use wisteriaglade_wire::{Clock, Key};
 
 use crate::{
     admission::Admission,
-    clock::Clock,
     lease::Lease,
     lock,
     message::{Message, Proposed},
--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -19,13 +19,12 @@
 use wisteriaglade_control::{self as control, State, planner};
 use wisteriaglade_router as router;
 use wisteriaglade_types::{Index, Node};
-use wisteriaglade_wire::Key;
+use wisteriaglade_wire::{Clock, Key};
 
 use crate::{
     admin,
     admission::Admission,
     caller,
-    clock::Clock,
     context::{Addresses, Context},
     datagrams, lease, load, membership,
     metrics::Metrics,
--- a/wisteriaglade-node/src/lib.rs
+++ b/wisteriaglade-node/src/lib.rs
@@ -34,7 +34,7 @@
 mod admission;
 mod body;
 mod caller;
-mod clock;
+
 mod context;
 mod daemon;
 mod datagrams;
--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -21,7 +21,9 @@
 use wisteriaglade_types::{Index, Node};
 
 use super::{Board, Error, Handle, Input, Result};
-use crate::{clock::Clock, message::Proposed, read, view::decode, write};
+use wisteriaglade_wire::Clock;
+
+use crate::{message::Proposed, read, view::decode, write};
 
 /// The longest wait for an input. Consensus timers have a resolution of this.
 const TICK: Duration = Duration::from_millis(10);
--- a/wisteriaglade-node/src/sample.rs
+++ b/wisteriaglade-node/src/sample.rs
@@ -180,7 +180,7 @@
             seed: 1,
             state: wisteriaglade_control::Config::default(),
             planner: wisteriaglade_control::planner::Config::default(),
-            clock: crate::clock::Clock::new(),
+            clock: wisteriaglade_wire::Clock::new(),
             outbox: std::collections::HashMap::new(),
         })?;
         // The planner begins to lead with the first applied command. Until then
--- a/wisteriaglade-node/src/telemetry.rs
+++ b/wisteriaglade-node/src/telemetry.rs
@@ -88,6 +88,26 @@
     Ok(Guard { provider })
 }
 
+/// Sets up logs as lines of key=value pairs on a writer.
+///
+/// # Errors
+///
+/// When the filter does not parse or logs are set up already.
+pub fn lines<W>(filter: &str, writer: W) -> Result<(), Error>
+where
+    W: for<'a> tracing_subscriber::fmt::MakeWriter<'a> + Send + Sync + 'static,
+{
+    let filter = EnvFilter::try_new(filter).map_err(|error| Error::Filter(error.to_string()))?;
+    let logs = tracing_subscriber::fmt::layer()
+        .event_format(Line)
+        .with_writer(writer)
+        .with_filter(filter);
+    tracing_subscriber::registry()
+        .with(logs)
+        .try_init()
+        .map_err(|_| Error::Installed)
+}
+
 fn provider(settings: &Settings, endpoint: &str) -> Result<SdkTracerProvider, Error> {
     let exporter = SpanExporter::builder()
         .with_http()
--- a/wisteriaglade-node/src/clock.rs
+++ b/wisteriaglade-wire/src/clock.rs
@@ -1,4 +1,4 @@
-//! The time that the reducers see.
+//! The clock of a process.
 
 use std::time::Duration;
 
@@ -10,22 +10,32 @@
 /// `Instant` stops during a suspension, so a lease would seem to be valid
 /// after it although its shards have moved.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Clock {
+pub struct Clock {
     start: Duration,
 }
 
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Clock {
-    pub(crate) fn new() -> Self {
+    /// A clock that starts now.
+    #[must_use]
+    pub fn new() -> Self {
         Self { start: boot() }
     }
 
     /// Time since the process started.
-    pub(crate) fn now(&self) -> Duration {
+    #[must_use]
+    pub fn now(&self) -> Duration {
         boot().saturating_sub(self.start)
     }
 
     /// The moment of the tokio clock for a time of this clock.
-    pub(crate) fn instant(&self, at: Duration) -> tokio::time::Instant {
+    #[must_use]
+    pub fn instant(&self, at: Duration) -> tokio::time::Instant {
         tokio::time::Instant::now() + at.saturating_sub(self.now())
     }
 }
--- a/wisteriaglade-wire/src/lib.rs
+++ b/wisteriaglade-wire/src/lib.rs
@@ -29,6 +29,7 @@
 //! version gets an [`Error`] at its own connection; other connections are not
 //! affected.
 
+mod clock;
 mod datagram;
 mod error;
 mod frame;
@@ -36,6 +37,7 @@
 mod link;
 
 pub use crate::{
+    clock::Clock,
     datagram::Datagram,
     error::{Error, Kind, Result},
     frame::Frame,
