--- a/wisteriaglade-fleet/src/control/leader.rs
+++ b/wisteriaglade-fleet/src/control/leader.rs
@@ -8,8 +8,9 @@
 };
 
 use tracing::{info, warn};
-use wisteriaglade_mesh::{Command, Condition, Directory, Keys, Keyspace, Planner, Report, Roster};
-use wisteriaglade_types::Name;
+use wisteriaglade_mesh::{
+    Command, Condition, Directory, Keys, Keyspace, Owner, Planner, Report, Roster,
+};
 use wisteriaglade_wire::Clock;
 
 use super::{
@@ -271,7 +272,6 @@
             port.send(Frame::Redirect { leader });
             return;
         }
-        let host = report.host.clone();
         let leased = report.target.as_ref().is_some_and(|target| {
             matches!(target.condition, Condition::Ready | Condition::Draining)
         });
@@ -286,29 +286,30 @@
                 version,
             });
         }
-        let leased = leased && owner.is_some_and(|owner| !inner.roster.ended().contains(&owner));
+        let owner = owner.filter(|owner| leased && !inner.roster.ended().contains(owner));
         let leader = self.clone();
         let port = port.clone();
         let term = inner.term;
         drop(inner);
         tokio::spawn(async move {
             if leader.handle.confirm().await {
-                leader.answer(&port, seq, &host, leased, term);
+                leader.answer(&port, seq, owner.as_ref(), term);
             }
         });
         self.step();
     }
 
-    fn answer(&self, port: &Port, seq: u64, host: &Name, leased: bool, term: Option<u64>) {
+    fn answer(&self, port: &Port, seq: u64, owner: Option<&Owner>, term: Option<u64>) {
         let mut inner = lock(&self.inner);
         // A key range that is being taken away must not get a new lease.
-        let leased = leased && !inner.busy;
+        let owner = owner.filter(|_| !inner.busy);
         if inner.term != term {
             return;
         }
-        if leased {
-            inner.roster.lease(self.clock.now(), host);
+        if let Some(owner) = owner {
+            inner.roster.lease(self.clock.now(), owner);
         }
+        let leased = owner.is_some();
         port.send(Frame::Renewed { seq, leased });
     }
 
--- a/wisteriaglade-fleet/src/dialect.rs
+++ b/wisteriaglade-fleet/src/dialect.rs
@@ -35,12 +35,12 @@
     /// When the body is not a heartbeat.
     fn beat(target: &str, body: &[u8]) -> Result<Beat>;
 
-    /// Reads the start of a target from what it says of itself.
+    /// Reads the start of a target from its farewell, if that names it.
     ///
     /// # Errors
     ///
-    /// When the body does not say it.
-    fn born(body: &[u8]) -> Result<u64>;
+    /// When the body cannot be read.
+    fn born(body: &[u8]) -> Result<Option<u64>>;
 
     /// The answer to a heartbeat; no grant renews nothing.
     fn grant(grant: Option<&Grant>) -> Vec<u8>;
--- a/wisteriaglade-fleet/src/host/beats.rs
+++ b/wisteriaglade-fleet/src/host/beats.rs
@@ -6,7 +6,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tracing::{debug, warn};
+use tracing::{info, warn};
 use wisteriaglade_types::Name;
 
 use super::Host;
@@ -53,7 +53,7 @@
         let beat = match D::beat(target, body) {
             Ok(beat) => beat,
             Err(error) => {
-                debug!(event = "beat-refused", target = %target, reason = %error);
+                info!(event = "beat-refused", target = %target, reason = %error);
                 return Self::fail(StatusCode::BAD_REQUEST, &error.to_string());
             }
         };
@@ -80,7 +80,10 @@
     fn leave(&self, target: &Name, body: &[u8]) -> Response<Full<Bytes>> {
         let born = match D::born(body) {
             Ok(born) => born,
-            Err(error) => return Self::fail(StatusCode::BAD_REQUEST, &error.to_string()),
+            Err(error) => {
+                info!(event = "leave-refused", target = %target, reason = %error);
+                return Self::fail(StatusCode::BAD_REQUEST, &error.to_string());
+            }
         };
         let now = self.host.clock.now();
         if lock(&self.host.tracker).leave(now, target, born) {
--- a/wisteriaglade-fleet/src/host/tracker.rs
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -12,6 +12,10 @@
 /// Heartbeats that may be missing before a target counts as silent.
 const MISSED: f64 = 2.6;
 
+/// How long a target may go on after its farewell. A later heartbeat under the
+/// same id is of another life.
+const FAREWELL: Duration = Duration::from_secs(15);
+
 /// What a host knows of its own target.
 #[derive(Debug)]
 pub(super) struct Tracker {
@@ -22,6 +26,8 @@
     /// The key ranges of the last directory, for a target that announces
     /// itself later.
     directory: Directory,
+    /// A target that said farewell before it was known, and when.
+    left: Option<(Name, Duration)>,
 }
 
 #[derive(Debug)]
@@ -44,6 +50,7 @@
             guard: Guard::default(),
             heat: Heat::default(),
             directory: Directory::default(),
+            left: None,
         }
     }
 
@@ -57,11 +64,6 @@
         self.known.as_ref().map(|known| known.condition)
     }
 
-    /// Requests that the target runs at the same time.
-    pub(super) fn slots(&self) -> u32 {
-        self.known.as_ref().map_or(1, |known| known.slots)
-    }
-
     /// How long the target has been leaving.
     pub(super) fn draining(&self, now: Duration) -> Option<Duration> {
         let since = self.known.as_ref()?.draining?;
@@ -145,7 +147,10 @@
         known.heard = now;
         known.slots = beat.slots;
         known.pool = beat.pool.clone();
-        let is_draining = beat.draining || known.draining.is_some();
+        let left = self.left.as_ref().is_some_and(|(target, at)| {
+            *target == owner.target && now.saturating_sub(*at) < FAREWELL
+        });
+        let is_draining = beat.draining || known.draining.is_some() || left;
         let condition = if is_draining {
             Condition::Draining
         } else {
@@ -169,12 +174,20 @@
         Some((grant, news))
     }
 
-    /// Takes a farewell.
-    pub(super) fn leave(&mut self, now: Duration, target: &str, born: u64) -> bool {
-        let Some(known) = &mut self.known else {
+    /// Takes a farewell, which may not name the life of the target. Returns
+    /// whether the leader should hear of it at once.
+    pub(super) fn leave(&mut self, now: Duration, target: &Name, born: Option<u64>) -> bool {
+        let known = self
+            .known
+            .as_mut()
+            .filter(|known| known.owner.target == *target);
+        let Some(known) = known else {
+            // The target's heartbeats may follow, and must not revive it.
+            info!(event = "target-leaves", target = %target, known = false);
+            self.left = Some((target.clone(), now));
             return false;
         };
-        if known.owner.target.as_str() != target || known.owner.born != born {
+        if born.is_some_and(|born| born != known.owner.born) {
             return false;
         }
         info!(event = "target-leaves", target = %target, announced = known.draining.is_some());
--- a/wisteriaglade-mesh/src/planner.rs
+++ b/wisteriaglade-mesh/src/planner.rs
@@ -116,10 +116,7 @@
             let target = record.report.target.as_ref();
             target.is_some_and(|target| target.owner == *owner)
         });
-        // An earlier leader may have given a lease until this one began.
-        let leased = record
-            .and_then(|record| record.leased)
-            .unwrap_or(roster.since());
+        let leased = roster.leased(owner);
         let silent = record.is_none_or(|record| {
             let target = record.report.target.as_ref();
             now.saturating_sub(record.seen) > FRESH
--- a/wisteriaglade-mesh/src/roster.rs
+++ b/wisteriaglade-mesh/src/roster.rs
@@ -24,8 +24,6 @@
     pub report: Report,
     /// When it arrived.
     pub seen: Duration,
-    /// When the host was last given a lease.
-    pub leased: Option<Duration>,
 }
 
 /// The hosts that a leader has heard of. A new leader starts with none.
@@ -33,6 +31,9 @@
 pub struct Roster {
     since: Duration,
     records: BTreeMap<Name, Record>,
+    /// When a lease was last given for each target. It outlives the host's
+    /// record: a process that has just restarted does not know its target yet.
+    leases: BTreeMap<Owner, Duration>,
     /// Targets that no longer run.
     ended: BTreeSet<Owner>,
     revision: u64,
@@ -102,7 +103,6 @@
             }
         }
         let before = self.records.get(&report.host);
-        let leased = before.and_then(|record| record.leased);
         let old = before.and_then(|record| entry(&record.report));
         let new = entry(&report);
         if old != new {
@@ -121,20 +121,21 @@
                 self.end(Some(target.owner.clone()));
             }
         }
-        let record = Record {
-            report,
-            seen: now,
-            leased,
-        };
+        let record = Record { report, seen: now };
         self.records.insert(record.report.host.clone(), record);
         true
     }
 
-    /// Notes that a host is given a lease now.
-    pub fn lease(&mut self, now: Duration, host: &Name) {
-        if let Some(record) = self.records.get_mut(host) {
-            record.leased = Some(now);
-        }
+    /// Notes that a lease for a target is given now.
+    pub fn lease(&mut self, now: Duration, owner: &Owner) {
+        self.leases.insert(owner.clone(), now);
+    }
+
+    /// When a lease for a target was last given. An earlier leader may have
+    /// given one until this one began.
+    #[must_use]
+    pub fn leased(&self, owner: &Owner) -> Duration {
+        self.leases.get(owner).copied().unwrap_or(self.since)
     }
 
     /// Drops hosts that have been silent for long and targets that no key
@@ -148,6 +149,7 @@
         if before != self.records.len() {
             self.revision += 1;
         }
+        self.leases.retain(|owner, _| named(owner));
         self.ended.retain(named);
     }
 
