--- a/wisteriaglade-fleet/src/control/replica.rs
+++ b/wisteriaglade-fleet/src/control/replica.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     fs, io,
-    path::Path,
+    path::{Path, PathBuf},
     sync::{
         Arc, RwLock, RwLockReadGuard,
         atomic::{AtomicBool, Ordering},
@@ -169,6 +169,16 @@
     /// This replica leads once it has applied this entry.
     lead_from: Option<Index>,
     confirmation: Confirmation,
+    /// Whether a write has failed.
+    failed: bool,
+}
+
+/// Where a replica keeps its files, and its first group.
+#[derive(Debug)]
+struct Place {
+    id: u64,
+    folder: PathBuf,
+    members: Vec<u64>,
 }
 
 /// Opens the data folder and starts the thread.
@@ -183,47 +193,82 @@
     let folder = &settings.replica.as_ref().ok_or_else(missing)?.data;
     let is_first = settings.first_start && settings.seeds.contains(&settings.link);
     let (id, is_new) = identity(folder, is_first.then(|| seed_id(settings.link)))?;
-    let (storage, restored) = Storage::open(folder).map_err(io::Error::other)?;
-    let state = match &restored.snapshot {
-        Some(snapshot) => State::decode(&snapshot.data).map_err(io::Error::other)?,
-        None => State::default(),
-    };
-    let applied = restored.snapshot.as_ref().map_or(0, |s| s.index.get());
     let members: Vec<u64> = if is_first {
         settings.seeds.iter().copied().map(seed_id).collect()
     } else {
         Vec::new()
     };
+    let place = Place {
+        id,
+        folder: folder.clone(),
+        members,
+    };
+    let (inbox, inputs) = mpsc::channel();
+    let handle = Handle {
+        inbox,
+        board: Arc::default(),
+        change: Arc::default(),
+        outbox: Arc::default(),
+        stop: Arc::default(),
+    };
     info!(
-        event = "storage-open",
+        event = "replica",
         replica = id,
         is_new,
+        first_group = place.members.len()
+    );
+    let mut worker = open(&place, &handle, clock)?;
+    let shown = handle.clone();
+    thread::Builder::new()
+        .name("replica".to_owned())
+        .spawn(move || {
+            while worker.run(&inputs) == Ended::Failed {
+                worker = reopen(&place, &shown, clock);
+            }
+        })?;
+    Ok((handle, id))
+}
+
+/// Reads the data folder again until it can be used.
+fn reopen(place: &Place, handle: &Handle, clock: Clock) -> Worker {
+    loop {
+        thread::sleep(REST);
+        match open(place, handle, clock) {
+            Ok(worker) => return worker,
+            Err(error) => error!(event = "storage-unusable", error = %error),
+        }
+    }
+}
+
+/// A replica that continues from its data folder.
+fn open(place: &Place, handle: &Handle, clock: Clock) -> io::Result<Worker> {
+    let (storage, restored) = Storage::open(&place.folder).map_err(io::Error::other)?;
+    let state = match &restored.snapshot {
+        Some(snapshot) => State::decode(&snapshot.data).map_err(io::Error::other)?,
+        None => State::default(),
+    };
+    let applied = restored.snapshot.as_ref().map_or(0, |s| s.index.get());
+    info!(
+        event = "storage-open",
+        replica = place.id,
         applied,
-        entries = restored.entries.len(),
-        seeds = members.len()
+        entries = restored.entries.len()
     );
-    let config = Config::new(Replica::new(id), members.iter().copied().map(Replica::new))
+    let members = place.members.iter().copied().map(Replica::new);
+    let config = Config::new(Replica::new(place.id), members)
         .heartbeat(HEARTBEAT)
         .election(ELECTION)
         .entry(ENTRY)
         .retain(RETAIN)
-        .seed(id ^ crate::host::session());
+        .seed(place.id ^ crate::host::session());
     let raft = Raft::new(config, restored, clock.now());
-    let (inbox, inputs) = mpsc::channel();
-    let board = Board {
+    *write(&handle.board) = Board {
         state,
         applied,
         ..Board::default()
     };
-    let handle = Handle {
-        inbox,
-        board: Arc::new(RwLock::new(board)),
-        change: Arc::default(),
-        outbox: Arc::default(),
-        stop: Arc::default(),
-    };
-    let worker = Worker {
-        id,
+    Ok(Worker {
+        id: place.id,
         clock,
         raft,
         storage,
@@ -234,11 +279,17 @@
         snapshot: applied,
         lead_from: None,
         confirmation: Confirmation::default(),
-    };
-    thread::Builder::new()
-        .name("replica".to_owned())
-        .spawn(move || worker.run(&inputs))?;
-    Ok((handle, id))
+        failed: false,
+    })
+}
+
+/// Why a replica's thread has ended its work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ended {
+    /// The process ends.
+    Stopped,
+    /// A write has failed.
+    Failed,
 }
 
 /// The number of this replica: the one in its folder, or a new one.
@@ -269,15 +320,15 @@
 }
 
 impl Worker {
-    fn run(mut self, inputs: &mpsc::Receiver<Input>) {
+    fn run(&mut self, inputs: &mpsc::Receiver<Input>) -> Ended {
         loop {
             let first = match inputs.recv_timeout(TICK) {
                 Ok(input) => Some(input),
                 Err(mpsc::RecvTimeoutError::Timeout) => None,
-                Err(mpsc::RecvTimeoutError::Disconnected) => return,
+                Err(mpsc::RecvTimeoutError::Disconnected) => return Ended::Stopped,
             };
             if self.handle.stop.load(Ordering::Relaxed) {
-                return;
+                return Ended::Stopped;
             }
             let mut steps = Vec::new();
             for input in first.into_iter().chain(inputs.try_iter()) {
@@ -287,6 +338,9 @@
             let mut outputs = Vec::new();
             self.raft.batch(self.clock.now(), steps, &mut outputs);
             self.execute(outputs);
+            if self.failed {
+                return Ended::Failed;
+            }
             self.ask();
             self.publish();
         }
@@ -410,6 +464,7 @@
                     if let Err(error) = self.storage.persist(&change) {
                         error!(event = "storage-failed", error = %error);
                         self.fail();
+                        return;
                     }
                 }
                 Output::Send { to, message } => {
@@ -443,16 +498,21 @@
         }
     }
 
-    /// Ends the process: what the disk holds is unknown after a failed write,
-    /// and the next start reads it again.
-    fn fail(&mut self) -> ! {
+    /// Notes that a write failed. What the disk holds is unknown then, so the
+    /// replica starts again from what it can read back.
+    fn fail(&mut self) {
+        self.failed = true;
         let mut board = write(&self.handle.board);
         board.leading = false;
         board.leader = None;
         drop(board);
+        for (_, reply) in self.waiting.drain() {
+            // Who proposed may have given up.
+            let _ = reply.send(Proposed::Unknown);
+        }
+        answer(std::mem::take(&mut self.confirmation.waiting), false);
+        answer(std::mem::take(&mut self.confirmation.next), false);
         self.handle.change.notify_one();
-        thread::sleep(REST);
-        std::process::exit(STORAGE_FAILED)
     }
 
     fn apply(&mut self, entries: &[Entry]) -> Vec<Output> {
@@ -540,12 +600,8 @@
     }
 }
 
-/// The pause before a process whose disk refuses writes ends, so that it does
-/// not restart in a tight loop.
-const REST: Duration = Duration::from_secs(1);
-
-/// The exit status after a failed write.
-const STORAGE_FAILED: i32 = 3;
+/// The pause before a disk that refused a write is tried again.
+const REST: Duration = Duration::from_millis(400);
 
 fn answer(waiting: Vec<oneshot::Sender<bool>>, leads: bool) {
     for reply in waiting {
--- a/wisteriaglade-fleet/src/host.rs
+++ b/wisteriaglade-fleet/src/host.rs
@@ -15,7 +15,7 @@
 use std::{
     sync::{
         Arc, Mutex, RwLock,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -55,6 +55,10 @@
 /// Callers are sent elsewhere after two questions without a 200, one a second.
 const LINGER: Duration = Duration::from_millis(2_300);
 
+/// How long a process that was asked to end still takes requests. What is
+/// taken later may not be done when the process is killed.
+const TAKES: Duration = Duration::from_millis(2_800);
+
 /// The time before the end of the grace in which the process ends for sure.
 const MARGIN: Duration = Duration::from_millis(400);
 
@@ -91,6 +95,10 @@
     choice: Mutex<Choice>,
     allowance: Mutex<Allowance>,
     leaving: AtomicBool,
+    /// Requests of callers that have no answer yet.
+    callers: AtomicUsize,
+    /// Set when the process takes no more requests.
+    closed: AtomicBool,
     stop: CancellationToken,
 }
 
@@ -126,6 +134,8 @@
         choice: Mutex::default(),
         allowance: Mutex::new(Allowance::new(repeats.ratio * BUDGET_USED, 1.0)),
         leaving: AtomicBool::new(false),
+        callers: AtomicUsize::new(0),
+        closed: AtomicBool::new(false),
         stop: ended.clone(),
         settings,
         beside,
@@ -207,8 +217,13 @@
             sleep(LOOK).await;
             self.look::<D>();
             let now = self.clock.now();
+            if now > from + TAKES && !self.closed.swap(true, Ordering::Relaxed) {
+                info!(event = "closed", host = %self.settings.host, open = self.admission.open());
+            }
             let idle = self.admission.is_idle() && self.peers.is_idle();
-            if (idle && now > from + LINGER) || now > end {
+            if (idle && self.callers.load(Ordering::Relaxed) == 0 && now > from + LINGER)
+                || now > end
+            {
                 info!(event = "stop", role = "host", host = %self.settings.host, idle);
                 return;
             }
@@ -219,6 +234,11 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Whether the process takes no more requests.
+    fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Relaxed)
+    }
+
     /// What the leader is told.
     fn report(&self) -> Report {
         let now = self.clock.now();
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -35,6 +35,10 @@
 /// The time after the deadline in which the target's own answer may come.
 const OVERTIME: Duration = Duration::from_millis(30);
 
+/// When to come back to a host whose process ends: it starts again within
+/// about this time.
+pub(super) const RESTART: Duration = Duration::from_millis(700);
+
 /// A draining target takes new work for this part of the time that it may.
 const DRAIN_PART: f64 = 0.4;
 
@@ -220,6 +224,9 @@
     fn refuse(&self, now: Duration, offer: &Offer) -> Option<(Reason, Duration)> {
         let mut tracker = lock(&self.tracker);
         let beat = self.settings.beat;
+        if self.is_closed() {
+            return Some((Reason::Draining, RESTART));
+        }
         if tracker.owner() != Some(&offer.owner) {
             return Some((Reason::NotTarget, Duration::ZERO));
         }
--- a/wisteriaglade-fleet/src/host/ingress.rs
+++ b/wisteriaglade-fleet/src/host/ingress.rs
@@ -1,6 +1,11 @@
 //! The callers' interface.
 
-use std::{marker::PhantomData, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    marker::PhantomData,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{
@@ -14,6 +19,7 @@
 
 use super::{
     Host,
+    admission::RESTART,
     exchange::{Exchange, Verdict},
 };
 use crate::{
@@ -193,10 +199,35 @@
 
 impl<D: Dialect> Service for Ingress<D> {
     async fn answer(&self, peer: SocketAddr, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if self.host.is_closed() {
+            let id = request.headers().get(D::REQUEST_ID);
+            info!(event = "refused", request = ?id, reason = "closed");
+            let mut response = unavailable(RESTART);
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+            return response;
+        }
+        let _open = Open::new(&self.host);
         self.serve(peer, request).await
     }
 }
 
+/// Counts a request that has no answer yet.
+struct Open<'a>(&'a Host);
+
+impl<'a> Open<'a> {
+    fn new(host: &'a Host) -> Self {
+        host.callers.fetch_add(1, Ordering::Relaxed);
+        Self(host)
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.callers.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// The headers that go to the target.
 fn forwarded<D: Dialect>(headers: &HeaderMap, pool: &Name) -> Vec<(String, Bytes)> {
     let listed: Vec<String> = headers
