Place key ranges by the measured capacity of targets

Cause: every target got the same share of the keys, though one in five is half as fast; a hot key kept its neighbours. Directories were sent whole at each log entry. Ruled out: fewer stripes (a heartbeat's answer has room).

--- a/wisteriaglade-fleet/src/control/leader.rs
+++ b/wisteriaglade-fleet/src/control/leader.rs
@@ -70,8 +70,10 @@
 #[derive(Debug)]
 struct Subscriber {
     port: Port,
-    /// The revision of the roster and the log index that it was sent.
-    sent: Option<(u64, u64, bool)>,
+    /// The revision of the targets that it was sent.
+    targets: Option<(u64, bool)>,
+    /// The log entry of the key ranges that it was sent.
+    keys: Option<u64>,
     version: u64,
 }
 
@@ -217,46 +219,45 @@
         }
         let board = self.handle.board();
         let state = board.state();
-        let mark = (
-            inner.roster.revision(),
-            board.applied(),
-            inner.roster.is_complete(now),
-        );
+        let targets = (inner.roster.revision(), inner.roster.is_complete(now));
+        let index = state.keys_index();
         let version = state.plan().version;
-        if inner
-            .subscribers
-            .iter()
-            .all(|other| other.sent == Some(mark) && other.version >= version)
-        {
+        let is_told = |other: &Subscriber| {
+            other.targets == Some(targets) && other.keys == Some(index) && other.version >= version
+        };
+        if inner.subscribers.iter().all(is_told) {
             return;
         }
         inner.published = now;
-        let replicas = state.members().values().map(|member| member.link).collect();
-        let frame = Frame::Publish {
-            replicas,
-            hosts: u32::try_from(inner.roster.records().count()).unwrap_or(u32::MAX),
-            directory: Directory {
-                index: board.applied(),
-                complete: mark.2,
-                entries: inner.roster.entries(),
-                keys: state
-                    .keyspaces()
-                    .iter()
-                    .map(|(pool, keyspace)| Keys {
-                        pool: pool.clone(),
-                        ranges: keyspace.ranges().to_vec(),
-                    })
-                    .collect(),
-            },
-        };
+        let replicas: Vec<_> = state.members().values().map(|member| member.link).collect();
+        let hosts = u32::try_from(inner.roster.records().count()).unwrap_or(u32::MAX);
+        let entries = inner.roster.entries();
+        let keys: Vec<_> = state
+            .keyspaces()
+            .iter()
+            .map(|(pool, keyspace)| Keys {
+                pool: pool.clone(),
+                ranges: keyspace.ranges().to_vec(),
+            })
+            .collect();
         for subscriber in &mut inner.subscribers {
             if subscriber.version < version {
                 subscriber.version = version;
                 subscriber.port.send(Frame::Plan(state.plan().clone()));
             }
-            if subscriber.sent != Some(mark) {
-                subscriber.sent = Some(mark);
-                subscriber.port.send(frame.clone());
+            let new_targets = subscriber.targets.replace(targets) != Some(targets);
+            let new_keys = subscriber.keys.replace(index) != Some(index);
+            if new_targets || new_keys {
+                subscriber.port.send(Frame::Publish {
+                    replicas: replicas.clone(),
+                    hosts,
+                    directory: Directory {
+                        index,
+                        complete: targets.1,
+                        entries: new_targets.then(|| entries.clone()),
+                        keys: new_keys.then(|| keys.clone()),
+                    },
+                });
             }
         }
     }
@@ -282,7 +283,8 @@
         if !inner.subscribers.iter().any(|other| other.port.is(port)) {
             inner.subscribers.push(Subscriber {
                 port: port.clone(),
-                sent: None,
+                targets: None,
+                keys: None,
                 version,
             });
         }
--- a/wisteriaglade-fleet/src/host.rs
+++ b/wisteriaglade-fleet/src/host.rs
@@ -241,14 +241,14 @@
 
     /// What the leader is told.
     fn report(&self) -> Report {
-        let now = self.clock.now();
+        let mean = self.admission.mean();
         Report {
             host: self.settings.host.clone(),
             session: self.session,
             address: self.settings.link,
             data_centre: self.settings.data_centre.clone(),
             leaving: self.is_leaving(),
-            target: lock(&self.tracker).report(now),
+            target: lock(&self.tracker).report(mean),
         }
     }
 }
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -125,6 +125,11 @@
         lock(&self.inner).jobs.len()
     }
 
+    /// The mean time of a request in milliseconds; 0 before any was measured.
+    pub(super) fn mean(&self) -> u32 {
+        lock(&self.inner).queue.measured().map_or(0, millis)
+    }
+
     fn load(&self) -> Load {
         lock(&self.inner).queue.load()
     }
--- a/wisteriaglade-fleet/src/host/heat.rs
+++ b/wisteriaglade-fleet/src/host/heat.rs
@@ -2,19 +2,15 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-/// Keys in one counted part, as the leader's planner expects.
-const PART: u16 = 64;
+use wisteriaglade_mesh::HEAT_KEYS;
 
 /// How often rates are worked out.
-const WINDOW: Duration = Duration::from_millis(1000);
+const WINDOW: Duration = Duration::from_millis(800);
 
 /// The weight of the last window.
 const GAIN: f32 = 0.5;
 
-/// Parts that are reported; the busiest ones matter.
-const TOP: usize = 24;
-
-/// Rates below this are forgotten.
+/// Rates below this, in requests a second, are forgotten.
 const FLOOR: f32 = 0.1;
 
 /// The rate of requests for each part of the keys.
@@ -28,7 +24,7 @@
 impl Heat {
     /// Counts a request.
     pub(super) fn note(&mut self, key: u16) {
-        *self.counts.entry(key / PART * PART).or_default() += 1;
+        *self.counts.entry(key / HEAT_KEYS * HEAT_KEYS).or_default() += 1;
     }
 
     /// Works out the rates once a window.
@@ -50,16 +46,11 @@
         self.rates.retain(|_, rate| *rate >= FLOOR);
     }
 
-    /// The busiest parts; the rest is added to the last one so that the sum is
-    /// the rate of the target.
-    pub(super) fn top(&self) -> Vec<(u16, f32)> {
-        let mut parts: Vec<_> = self.rates.iter().map(|(key, rate)| (*key, *rate)).collect();
-        parts.sort_by(|a, b| b.1.total_cmp(&a.1));
-        let rest: f32 = parts.iter().skip(TOP).map(|(_, rate)| *rate).sum();
-        parts.truncate(TOP);
-        if let Some(last) = parts.last_mut() {
-            last.1 += rest;
-        }
-        parts
+    /// Requests in ten seconds for each part.
+    pub(super) fn counts(&self) -> Vec<(u16, u32)> {
+        let rates = self.rates.iter();
+        rates
+            .map(|(key, rate)| (*key, (rate * 10.0) as u32))
+            .collect()
     }
 }
--- a/wisteriaglade-fleet/src/host/membership.rs
+++ b/wisteriaglade-fleet/src/host/membership.rs
@@ -207,7 +207,7 @@
             event = "directory",
             index = directory.index,
             complete = directory.complete,
-            targets = directory.entries.len(),
+            targets = directory.entries.as_ref().map_or(0, Vec::len),
             at_ms = now.as_millis()
         );
     }
--- a/wisteriaglade-fleet/src/host/tracker.rs
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -95,9 +95,9 @@
 
     /// Takes a directory.
     pub(super) fn update(&mut self, directory: &Directory) {
-        if directory.index >= self.directory.index {
+        if directory.keys.is_some() && directory.index >= self.directory.index {
             self.directory = Directory {
-                entries: Vec::new(),
+                entries: None,
                 ..directory.clone()
             };
         }
@@ -219,7 +219,9 @@
     }
 
     /// What the leader is told.
-    pub(super) fn report(&self, _: Duration) -> Option<TargetReport> {
+    ///
+    /// `mean` is the mean time of a request in milliseconds.
+    pub(super) fn report(&self, mean: u32) -> Option<TargetReport> {
         let known = self.known.as_ref()?;
         Some(TargetReport {
             owner: known.owner.clone(),
@@ -227,7 +229,8 @@
             slots: known.slots,
             condition: known.condition,
             released: self.guard.released().to_vec(),
-            heat: self.heat.top(),
+            mean,
+            heat: self.heat.counts(),
         })
     }
 }
--- a/wisteriaglade-fleet/src/host/view.rs
+++ b/wisteriaglade-fleet/src/host/view.rs
@@ -45,8 +45,22 @@
 
     /// Takes a directory.
     pub(super) fn update(&mut self, directory: &Directory) {
-        let mut entries = directory.entries.clone();
-        if !directory.complete {
+        if let Some(entries) = &directory.entries {
+            self.list(entries.clone(), directory.complete);
+        }
+        if let Some(keys) = directory
+            .keys
+            .as_ref()
+            .filter(|_| directory.index >= self.index)
+        {
+            self.index = directory.index;
+            let keys = keys.iter().map(|keys| (keys.pool.clone(), keys.clone()));
+            self.keys = keys.collect();
+        }
+    }
+
+    fn list(&mut self, mut entries: Vec<Entry>, complete: bool) {
+        if !complete {
             // The leader is new, and a host may not have reported to it yet.
             for old in self.pools.values().flatten() {
                 let is_known = entries
@@ -64,14 +78,6 @@
                 .or_default()
                 .push(entry);
         }
-        if directory.index >= self.index {
-            self.index = directory.index;
-            self.keys = directory
-                .keys
-                .iter()
-                .map(|keys| (keys.pool.clone(), keys.clone()))
-                .collect();
-        }
     }
 
     /// The targets of a pool.
--- a/wisteriaglade-mesh/src/directory.rs
+++ b/wisteriaglade-mesh/src/directory.rs
@@ -15,10 +15,11 @@
     /// Whether every host had the time to report to this leader. Until then a
     /// missing target may still run.
     pub complete: bool,
-    /// The targets.
-    pub entries: Vec<Entry>,
-    /// The key ranges of the pools that are divided by key.
-    pub keys: Vec<Keys>,
+    /// The targets; `None` when they have not changed.
+    pub entries: Option<Vec<Entry>>,
+    /// The key ranges of the pools that are divided by key; `None` when they
+    /// have not changed.
+    pub keys: Option<Vec<Keys>>,
 }
 
 /// A target.
--- a/wisteriaglade-mesh/src/guard.rs
+++ b/wisteriaglade-mesh/src/guard.rs
@@ -69,14 +69,18 @@
 
     /// Takes the key ranges of a newer directory.
     pub fn update(&mut self, directory: &Directory) {
-        if directory.index < self.index {
+        let Some(keys) = directory
+            .keys
+            .as_ref()
+            .filter(|_| directory.index >= self.index)
+        else {
             return;
-        }
+        };
         self.index = directory.index;
         self.rows.clear();
         self.leaving.clear();
         let Some(owner) = &self.owner else { return };
-        let ranges = directory.keys.iter().flat_map(|keys| &keys.ranges);
+        let ranges = keys.iter().flat_map(|keys| &keys.ranges);
         for range in ranges.filter(|range| range.owner.as_ref() == Some(owner)) {
             if range.next.is_none() {
                 let row = (range.span, range.fence, range.handover.clone());
@@ -124,7 +128,18 @@
             .rows
             .iter()
             .filter(|(span, fence, _)| !self.is_released(*span, *fence))
-            .cloned()
+            .map(|(span, fence, handover)| {
+                // A target that holds the range has used what it was handed.
+                let is_held = holds
+                    .iter()
+                    .any(|(held, token)| token == fence && held.overlap(*span) == Some(*span));
+                let handover = if is_held {
+                    Name::from("")
+                } else {
+                    handover.clone()
+                };
+                (*span, *fence, handover)
+            })
             .collect();
         Some(Grant { rows, hold })
     }
--- a/wisteriaglade-mesh/src/lib.rs
+++ b/wisteriaglade-mesh/src/lib.rs
@@ -78,7 +78,7 @@
     planner::Planner,
     queue::{Arrival, Effect, Finish, Load, Queue, Reason},
     range::Range,
-    report::{Condition, Report, TargetReport},
+    report::{Condition, HEAT_KEYS, Report, TargetReport},
     roster::{Record, Roster},
     span::Span,
     state::{Member, State},
--- a/wisteriaglade-mesh/src/planner.rs
+++ b/wisteriaglade-mesh/src/planner.rs
@@ -4,7 +4,9 @@
 
 use wisteriaglade_types::Name;
 
-use crate::{Command, Condition, Keyspace, Owner, Pool, Roster, Span, State};
+use crate::{
+    Command, Condition, HEAT_KEYS, Keyspace, Owner, Pool, Roster, Span, State, TargetReport,
+};
 
 /// Ranges for each target of a new pool. Busy keys lie close together, so
 /// neighbouring ranges go to different targets; a heartbeat's answer holds at
@@ -26,27 +28,40 @@
 
 /// Moves that one pass starts, so that a large change does not halt all keys
 /// at once.
-const MOVES: usize = 8;
+const MOVES: usize = 12;
 
-/// How many times the mean of the pool a target's measured load has to be
-/// before ranges move away from it.
-const OVERLOAD: f64 = 1.35;
+/// How many times the mean of the pool a target's use has to be before ranges
+/// move away from it.
+const OVERLOAD: f64 = 1.25;
 
-/// Requests a second below which a difference of loads is left alone.
-const RATE_MIN: f64 = 15.0;
+/// The use of its slots below which a target is left alone.
+const USE_MIN: f64 = 0.55;
+
+/// The mean time of a request at a target that was not measured yet, in
+/// milliseconds.
+const MEAN_FIRST: f64 = 100.0;
 
 /// The shortest time between two moves for balance in a pool. Reports of the
 /// new load have to arrive in between.
-const REBALANCE: Duration = Duration::from_millis(2500);
+const REBALANCE: Duration = Duration::from_millis(1500);
 
 /// A target that may take keys.
 struct Taker {
     owner: Owner,
-    slots: f64,
+    /// Requests a second that it can run.
+    capacity: f64,
     keys: f64,
+    /// Requests a second that it is sent.
     rate: f64,
 }
 
+impl Taker {
+    /// The part of the capacity that is used.
+    fn used(&self) -> f64 {
+        self.rate / self.capacity
+    }
+}
+
 /// The leader's decisions about key ranges.
 #[derive(Debug)]
 pub struct Planner {
@@ -269,9 +284,9 @@
         let keys = keyspace.ranges().iter().filter(mine);
         takers.push(Taker {
             owner: target.owner.clone(),
-            slots: f64::from(target.slots.max(1)),
+            capacity: capacity(target),
             keys: keys.map(|range| f64::from(range.span.len())).sum(),
-            rate: target.heat.iter().map(|(_, rate)| f64::from(*rate)).sum(),
+            rate: target.heat.iter().map(|(_, count)| rate(*count)).sum(),
         });
     }
     takers
@@ -281,7 +296,7 @@
 fn lightest(takers: &mut [Taker]) -> &mut Taker {
     takers
         .iter_mut()
-        .min_by(|a, b| (a.keys / a.slots).total_cmp(&(b.keys / b.slots)))
+        .min_by(|a, b| (a.keys / a.capacity).total_cmp(&(b.keys / b.capacity)))
         .expect("the caller has checked that a target may take keys")
 }
 
@@ -297,17 +312,17 @@
 
 /// Ranges for targets that have none.
 fn newcomers(keyspace: &Keyspace, takers: &mut [Taker]) -> Vec<(Span, Owner)> {
-    let slots: f64 = takers.iter().map(|taker| taker.slots).sum();
+    let capacity: f64 = takers.iter().map(|taker| taker.capacity).sum();
     let mut moves: Vec<(Span, Owner)> = Vec::new();
     while moves.len() < MOVES {
         let Some(empty) = takers.iter().position(|taker| {
-            let fair = 65_536.0 * taker.slots / slots;
-            taker.keys < fair * 0.5 && takers.len() > 1
+            let fair = 65_536.0 * taker.capacity / capacity;
+            taker.keys < fair * NEWCOMER && takers.len() > 1
         }) else {
             break;
         };
         let Some(full) = (0..takers.len()).filter(|at| *at != empty).max_by(|a, b| {
-            let weight = |at: usize| takers[at].keys / takers[at].slots;
+            let weight = |at: usize| takers[at].keys / takers[at].capacity;
             weight(*a).total_cmp(&weight(*b))
         }) else {
             break;
@@ -325,47 +340,109 @@
     moves
 }
 
-/// Moves the hottest parts of the busiest target to the least busy one.
-fn relieve(keyspace: &Keyspace, takers: &[Taker], roster: &Roster) -> Vec<(Span, Owner)> {
-    let use_of = |taker: &Taker| taker.rate / taker.slots;
-    let Some(busy) = takers.iter().max_by(|a, b| use_of(a).total_cmp(&use_of(b))) else {
-        return Vec::new();
-    };
-    let Some(calm) = takers.iter().min_by(|a, b| use_of(a).total_cmp(&use_of(b))) else {
-        return Vec::new();
-    };
-    let total: f64 = takers.iter().map(|taker| taker.rate).sum();
-    let slots: f64 = takers.iter().map(|taker| taker.slots).sum();
-    let mean = total / slots;
-    if busy.rate < RATE_MIN || use_of(busy) < mean * OVERLOAD {
-        return Vec::new();
+/// Moves ranges from the busiest targets to the least busy ones.
+///
+/// A range that would only move the overload stays, so a single hot key stays
+/// where it is and the other ranges of its target leave.
+fn relieve(keyspace: &Keyspace, takers: &mut [Taker], roster: &Roster) -> Vec<(Span, Owner)> {
+    let rate: f64 = takers.iter().map(|taker| taker.rate).sum();
+    let capacity: f64 = takers.iter().map(|taker| taker.capacity).sum();
+    let mean = rate / capacity;
+    let mut moves: Vec<(Span, Owner)> = Vec::new();
+    while moves.len() < MOVES {
+        let by_use = |a: &&Taker, b: &&Taker| a.used().total_cmp(&b.used());
+        let (Some(busy), Some(calm)) = (takers.iter().max_by(by_use), takers.iter().min_by(by_use))
+        else {
+            break;
+        };
+        // Once ranges move at all, they move until the loads are even.
+        let limit = if moves.is_empty() { OVERLOAD } else { 1.05 };
+        if busy.used() < USE_MIN || busy.used() < mean * limit {
+            break;
+        }
+        let excess = (busy.used() - mean) * busy.capacity;
+        let room = (mean - calm.used()) * calm.capacity;
+        let most = excess.min(room * 1.2);
+        let Some((span, rate)) = best_part(keyspace, busy, roster, most, &moves) else {
+            break;
+        };
+        let (from, to) = (busy.owner.clone(), calm.owner.clone());
+        for taker in takers.iter_mut() {
+            if taker.owner == from {
+                taker.rate -= rate;
+            } else if taker.owner == to {
+                taker.rate += rate;
+            }
+        }
+        moves.push((span, to));
     }
-    let heat = roster.records().find_map(|record| {
-        let target = record.report.target.as_ref()?;
-        (target.owner == busy.owner).then_some(&target.heat)
-    });
-    let mut heat = heat.cloned().unwrap_or_default();
-    heat.sort_by(|a, b| b.1.total_cmp(&a.1));
-    let mut excess = (use_of(busy) - mean).min(mean - use_of(calm)) * busy.slots;
-    let mut moves = Vec::new();
-    for (key, rate) in heat {
-        let rate = f64::from(rate);
-        // A part hotter than the excess would only move the overload.
-        if rate > excess || moves.len() >= MOVES {
+    moves
+}
+
+/// The busiest range, or part of a range, of a target that is not busier than
+/// `most` requests a second.
+fn best_part(
+    keyspace: &Keyspace,
+    busy: &Taker,
+    roster: &Roster,
+    most: f64,
+    taken: &[(Span, Owner)],
+) -> Option<(Span, f64)> {
+    let reports = roster
+        .records()
+        .filter_map(|record| record.report.target.as_ref());
+    let heat = &reports
+        .into_iter()
+        .find(|target| target.owner == busy.owner)?
+        .heat;
+    let mut parts: Vec<(Span, f64)> = Vec::new();
+    for range in keyspace.ranges() {
+        if range.owner.as_ref() != Some(&busy.owner) {
             continue;
         }
-        let part = Span::new(key, key.saturating_add(HEAT_KEYS - 1));
-        let range = keyspace
-            .ranges()
+        let inside: Vec<(Span, f64)> = heat
             .iter()
-            .find(|range| range.span.contains(key) && range.owner.as_ref() == Some(&busy.owner));
-        if let Some(span) = range.and_then(|range| range.span.overlap(part)) {
-            excess -= rate;
-            moves.push((span, calm.owner.clone()));
+            .filter_map(|(key, count)| {
+                let part = Span::new(*key, key.saturating_add(HEAT_KEYS - 1));
+                Some((part.overlap(range.span)?, rate(*count)))
+            })
+            .collect();
+        let total: f64 = inside.iter().map(|(_, rate)| rate).sum();
+        if total <= most {
+            parts.push((range.span, total));
+        } else {
+            parts.extend(inside);
         }
     }
-    moves
+    parts
+        .into_iter()
+        .filter(|(span, rate)| {
+            let is_free = taken
+                .iter()
+                .all(|(other, _)| other.overlap(*span).is_none());
+            is_free && *rate <= most && *rate > most * SMALLEST
+        })
+        .max_by(|a, b| a.1.total_cmp(&b.1))
+}
+
+/// Requests a second that a target can run.
+fn capacity(target: &TargetReport) -> f64 {
+    let mean = if target.mean == 0 {
+        MEAN_FIRST
+    } else {
+        f64::from(target.mean)
+    };
+    f64::from(target.slots.max(1)) * 1000.0 / mean
 }
 
-/// Keys in one part of the load reports.
-pub(crate) const HEAT_KEYS: u16 = 64;
+/// Requests a second, from the number in ten seconds that a report carries.
+fn rate(count: u32) -> f64 {
+    f64::from(count) / 10.0
+}
+
+/// A newcomer has less than this part of its fair share of the keys.
+const NEWCOMER: f64 = 0.25;
+
+/// The part of the wanted rate below which a move is not worth the time in
+/// which its keys have no holder.
+const SMALLEST: f64 = 0.03;
--- a/wisteriaglade-mesh/src/queue.rs
+++ b/wisteriaglade-mesh/src/queue.rs
@@ -198,6 +198,12 @@
         }
     }
 
+    /// The mean time of a request, once some were measured.
+    #[must_use]
+    pub fn measured(&self) -> Option<Duration> {
+        (!self.means.is_empty()).then(|| Duration::from_secs_f64(self.mean))
+    }
+
     /// Whether nothing runs or waits.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/wisteriaglade-mesh/src/state.rs
+++ b/wisteriaglade-mesh/src/state.rs
@@ -27,6 +27,8 @@
     accepted: Vec<(u64, u64, u128)>,
     members: BTreeMap<u64, Member>,
     keyspaces: BTreeMap<Name, Keyspace>,
+    /// The last entry that changed a key range.
+    keys_index: u64,
 }
 
 impl State {
@@ -54,6 +56,12 @@
         &self.keyspaces
     }
 
+    /// The last log entry that changed a key range.
+    #[must_use]
+    pub fn keys_index(&self) -> u64 {
+        self.keys_index
+    }
+
     /// What a plan would lead to now.
     #[must_use]
     pub fn judge(&self, base: u64, plan: &Plan, text: &[u8]) -> Reply {
@@ -75,6 +83,12 @@
     /// `index` is its position. It rises with each command, so it serves as
     /// the fencing token of the grants.
     pub fn apply(&mut self, index: u64, command: Command) -> Reply {
+        if !matches!(
+            command,
+            Command::Configure { .. } | Command::Register { .. }
+        ) {
+            self.keys_index = index;
+        }
         match command {
             Command::Configure { base, plan, text } => return self.configure(base, plan, text),
             Command::Register {
--- a/wisteriaglade-mesh/tests/planner.rs
+++ b/wisteriaglade-mesh/tests/planner.rs
@@ -56,6 +56,7 @@
             slots: 4,
             condition: Condition::Ready,
             released: Vec::new(),
+            mean: 100,
             heat: Vec::new(),
         }),
     }
@@ -126,3 +127,87 @@
     };
     assert_eq!(commands, [forget]);
 }
+
+/// A pool of three targets with 4 slots, of which `busy` gets the load.
+fn loaded(heat: Vec<(u16, u32)>, means: [u32; 3]) -> (State, Roster) {
+    let mut state = state();
+    let third = u16::MAX / 3;
+    let spans = [
+        Span::new(0, third),
+        Span::new(third + 1, 2 * third),
+        Span::new(2 * third + 1, u16::MAX),
+    ];
+    let names = ["i-1", "i-2", "i-3"];
+    let grants = spans
+        .into_iter()
+        .zip(names)
+        .map(|(span, name)| (span, owner(name)))
+        .collect();
+    let pool = "catalogue".into();
+    state.apply(2, Command::Grant { pool, grants });
+    let mut roster = Roster::new(at(0));
+    for ((host, name), mean) in ["a", "b", "c"].into_iter().zip(names).zip(means) {
+        let mut report = report(host, 1, Some(name));
+        if let Some(target) = &mut report.target {
+            target.mean = mean;
+            let span = spans[names.iter().position(|other| *other == name).unwrap_or(0)];
+            let inside = heat.iter().filter(|(key, _)| span.contains(*key));
+            target.heat = inside.copied().collect();
+        }
+        roster.report(at(1_000), report);
+        roster.lease(at(1_000), &owner(name));
+    }
+    (state, roster)
+}
+
+/// Even load, in ten seconds, over all keys.
+fn even(each: u32) -> Vec<(u16, u32)> {
+    (0..65_536_u32)
+        .step_by(2_048)
+        .filter_map(|key| Some((u16::try_from(key).ok()?, each)))
+        .collect()
+}
+
+/// The load pattern: one target is half as fast as the others.
+#[test]
+fn a_slow_target_passes_keys_on() {
+    let (state, roster) = loaded(even(25), [200, 100, 100]);
+
+    let commands = Planner::new(LEASE).step(at(1_100), &state, &roster);
+
+    let [Command::Shift { moves, .. }] = commands.as_slice() else {
+        panic!("expected one shift, got {commands:?}");
+    };
+    assert!(
+        moves
+            .iter()
+            .all(|(span, to)| span.from < 21_846 && *to != owner("i-1"))
+    );
+}
+
+/// The load pattern: one key gets most of the traffic of its target.
+#[test]
+fn the_neighbours_of_a_hot_key_leave_its_target() {
+    let mut heat = even(15);
+    heat.push((1_000 / 128 * 128, 300));
+    heat.sort_unstable();
+    let (state, roster) = loaded(heat, [100, 100, 100]);
+
+    let commands = Planner::new(LEASE).step(at(1_100), &state, &roster);
+
+    let [Command::Shift { moves, .. }] = commands.as_slice() else {
+        panic!("expected one shift, got {commands:?}");
+    };
+    assert!(!moves.is_empty());
+    assert!(moves.iter().all(|(span, _)| !span.contains(1_000)));
+}
+
+/// Guards against churn without gain.
+#[test]
+fn an_even_load_moves_nothing() {
+    let (state, roster) = loaded(even(25), [100, 100, 100]);
+
+    let commands = Planner::new(LEASE).step(at(1_100), &state, &roster);
+
+    assert_eq!(commands, []);
+}
