--- a/wisteriaglade-fleet/src/host.rs
+++ b/wisteriaglade-fleet/src/host.rs
@@ -125,7 +125,7 @@
     };
     let repeats = settings.repeats;
     let host = Arc::new(Host {
-        tracker: Mutex::new(Tracker::new(settings.beat)),
+        tracker: Mutex::new(Tracker::new(settings.link, settings.beat)),
         admission: Admission::new(beside.target),
         peers: Peers::new(hello.clone(), clock, ended.clone()),
         view: RwLock::default(),
--- a/wisteriaglade-fleet/src/host/tracker.rs
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -1,6 +1,6 @@
 //! What a host knows of its own target.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use tracing::info;
 use wisteriaglade_mesh::{Condition, Grant, Guard, Keyspace, Owner, TargetReport};
@@ -19,6 +19,7 @@
 /// What a host knows of its own target.
 #[derive(Debug)]
 pub(super) struct Tracker {
+    host: SocketAddr,
     beat: Duration,
     known: Option<Known>,
     guard: Guard,
@@ -40,8 +41,9 @@
 }
 
 impl Tracker {
-    pub(super) fn new(beat: Duration) -> Self {
+    pub(super) fn new(host: SocketAddr, beat: Duration) -> Self {
         Self {
+            host,
             beat,
             known: None,
             guard: Guard::default(),
@@ -106,6 +108,7 @@
         let owner = Owner {
             target: beat.target.clone(),
             born: beat.born,
+            host: self.host,
         };
         let mut news = false;
         let is_other = self.known.as_ref().is_none_or(|known| known.owner != owner);
--- a/wisteriaglade-mesh/src/choice.rs
+++ b/wisteriaglade-mesh/src/choice.rs
@@ -8,7 +8,7 @@
 
 /// The part of a request's time that is accepted to stay in the data centre:
 /// traffic between data centres is paid for.
-const REMOTE: f64 = 0.35;
+const REMOTE: f64 = 0.03;
 
 /// A load report younger than this shows whether a slot is free now.
 const RECENT: Duration = Duration::from_millis(150);
--- a/wisteriaglade-mesh/src/guard.rs
+++ b/wisteriaglade-mesh/src/guard.rs
@@ -45,7 +45,8 @@
         &self.released
     }
 
-    /// Whether the target held a key when it last said so.
+    /// Whether the target holds a key as far as its heartbeats and their answers
+    /// tell.
     #[must_use]
     pub fn holds(&self, key: u16) -> bool {
         self.held.iter().any(|(span, _)| span.contains(key))
@@ -120,7 +121,7 @@
         if hold < HOLD_MIN {
             return None;
         }
-        let rows = self
+        let rows: Vec<(Span, u64, Name)> = self
             .rows
             .iter()
             .filter(|(span, fence, _)| !self.is_released(*span, *fence))
@@ -137,6 +138,12 @@
                 (*span, *fence, handover)
             })
             .collect();
+        // The target takes new ranges and lets go of the others when it reads
+        // the answer.
+        self.held = rows
+            .iter()
+            .map(|(span, fence, _)| (*span, *fence))
+            .collect();
         Some(Grant { rows, hold })
     }
 
--- a/wisteriaglade-mesh/src/owner.rs
+++ b/wisteriaglade-mesh/src/owner.rs
@@ -1,5 +1,7 @@
 //! Who holds a key range.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use wisteriaglade_types::Name;
 
@@ -13,4 +15,7 @@
     pub target: Name,
     /// When it started, in Unix milliseconds of its own clock.
     pub born: u64,
+    /// Where the process beside it takes links. A host has one target, so a
+    /// later target there shows that this one has ended.
+    pub host: SocketAddr,
 }
--- a/wisteriaglade-mesh/src/planner.rs
+++ b/wisteriaglade-mesh/src/planner.rs
@@ -32,10 +32,13 @@
 
 /// How many times the mean of the pool a target's use has to be before ranges
 /// move away from it.
-const OVERLOAD: f64 = 1.25;
+const OVERLOAD: f64 = 1.45;
+
+/// How close to the mean a target's use is brought once ranges move.
+const EVEN: f64 = 1.1;
 
 /// The use of its slots below which a target is left alone.
-const USE_MIN: f64 = 0.55;
+const USE_MIN: f64 = 0.8;
 
 /// The mean time of a request at a target that was not measured yet, in
 /// milliseconds.
@@ -43,7 +46,7 @@
 
 /// The shortest time between two moves for balance in a pool. Reports of the
 /// new load have to arrive in between.
-const REBALANCE: Duration = Duration::from_millis(1500);
+const REBALANCE: Duration = Duration::from_millis(2500);
 
 /// A target that may take keys.
 struct Taker {
@@ -123,7 +126,13 @@
 
     /// Whether every hold of a target is over.
     fn is_over(&self, now: Duration, owner: &Owner, roster: &Roster) -> bool {
-        if roster.ended().contains(owner) {
+        let is_replaced = roster.records().any(|record| {
+            let target = record.report.target.as_ref().map(|target| &target.owner);
+            target.is_some_and(|target| {
+                target.host == owner.host && target != owner && target.born >= owner.born
+            })
+        });
+        if is_replaced || roster.ended().contains(owner) {
             return true;
         }
         let wait = self.lease.mul_f64(DRIFT) + SLACK;
@@ -356,7 +365,7 @@
             break;
         };
         // Once ranges move at all, they move until the loads are even.
-        let limit = if moves.is_empty() { OVERLOAD } else { 1.05 };
+        let limit = if moves.is_empty() { OVERLOAD } else { EVEN };
         if busy.used() < USE_MIN || busy.used() < mean * limit {
             break;
         }
--- a/wisteriaglade-mesh/src/queue.rs
+++ b/wisteriaglade-mesh/src/queue.rs
@@ -162,6 +162,10 @@
     /// The mean time of each kind of work, in seconds.
     means: HashMap<u64, f64>,
     mean: f64,
+    /// The mean time between two ends while all slots are in use, in seconds.
+    interval: f64,
+    /// When a request last ended while all slots were in use.
+    ended: Option<Duration>,
 }
 
 impl Queue {
@@ -176,6 +180,8 @@
             running: HashMap::new(),
             means: HashMap::new(),
             mean: FIRST.as_secs_f64(),
+            interval: 0.0,
+            ended: None,
         }
     }
 
@@ -242,7 +248,7 @@
         };
         let reason = if !arrival.waits {
             Some(Reason::Full)
-        } else if (is_full && !arrival.nested) || now + wait + work > end {
+        } else if (is_full && !arrival.nested) || now + wait + work.mul_f64(1.5) > end {
             Some(Reason::Late)
         } else {
             None
@@ -257,17 +263,38 @@
 
     /// Takes the end of a request that ran.
     pub fn finish(&mut self, now: Duration, id: u64, finish: Finish, effects: &mut Vec<Effect>) {
+        let was_full = self.running.len() >= self.room() as usize;
         if let Some(running) = self.running.remove(&id) {
-            if finish == Finish::Done {
-                let time = now.saturating_sub(running.since).as_secs_f64();
-                let mean = self.means.entry(running.kind).or_insert(time);
-                *mean += (time - *mean) * GAIN;
-                self.mean += (time - self.mean) * GAIN;
+            self.measure(now, &running, finish);
+        }
+        let last = self.ended.take();
+        if was_full && finish != Finish::Shed {
+            if let Some(last) = last {
+                let interval = now.saturating_sub(last).as_secs_f64();
+                self.interval += (interval - self.interval) * GAIN;
             }
+            self.ended = Some(now);
         }
         self.fill(now, effects);
     }
 
+    /// Takes the time of a request. One that was cut off would have taken
+    /// longer, so its time counts only when it raises the mean.
+    fn measure(&mut self, now: Duration, running: &Running, finish: Finish) {
+        let time = now.saturating_sub(running.since).as_secs_f64();
+        let known = self.means.get(&running.kind).copied().unwrap_or(self.mean);
+        let counts = match finish {
+            Finish::Done => true,
+            Finish::Broken | Finish::Cancelled => time > known,
+            Finish::Shed => false,
+        };
+        if counts {
+            let mean = self.means.entry(running.kind).or_insert(time);
+            *mean += (time - *mean) * GAIN;
+            self.mean += (time - self.mean) * GAIN;
+        }
+    }
+
     /// Removes a request whose caller has left. Returns whether it was waiting.
     pub fn leave(&mut self, id: u64) -> bool {
         let place = self
@@ -341,7 +368,11 @@
             .sum();
         let room = f64::from(self.room());
         // The next slot frees when the first of the running requests ends.
-        Duration::from_secs_f64(work / room + left / room / (room + 1.0))
+        let planned = work / room + left / room / (room + 1.0);
+        // The target may have become slower than the means show.
+        let ahead = self.waiting.range(..place).count() as f64 + 1.0;
+        let paced = ahead * self.interval;
+        Duration::from_secs_f64(planned.max(paced))
     }
 
     fn mean_of(&self, kind: u64) -> Duration {
--- a/wisteriaglade-mesh/tests/planner.rs
+++ b/wisteriaglade-mesh/tests/planner.rs
@@ -1,6 +1,6 @@
 //! The leader's decisions about key ranges.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use wisteriaglade_mesh::{
     Command, Condition, Owner, Plan, Planner, Pool, Report, Roster, Span, State, TargetReport,
@@ -16,9 +16,16 @@
     Owner {
         target: name.into(),
         born: 1,
+        host: address(name),
     }
 }
 
+/// The host of a target: `i-1` runs beside the process at port 7001.
+fn address(name: &str) -> SocketAddr {
+    let port = 7000 + u16::from(name.as_bytes().last().copied().unwrap_or(0));
+    ([127, 0, 0, 1], port).into()
+}
+
 fn state() -> State {
     let mut state = State::default();
     let plan = Plan {
@@ -43,11 +50,10 @@
 }
 
 fn report(host: &str, session: u64, target: Option<&str>) -> Report {
-    let port = 7000 + u16::from(host.as_bytes()[0]);
     Report {
         host: host.into(),
         session,
-        address: ([127, 0, 0, 1], port).into(),
+        address: address(target.unwrap_or("i-1")),
         data_centre: "a".into(),
         leaving: false,
         target: target.map(|target| TargetReport {
@@ -160,6 +166,28 @@
     (state, roster)
 }
 
+/// Guards against a wait for targets that restarted together with the whole
+/// fleet: the new leader has no record of their former lives.
+#[test]
+fn a_new_leader_sees_that_a_host_has_another_target() {
+    let state = granted("i-1");
+    let mut planner = Planner::new(LEASE);
+    let mut roster = Roster::new(at(5_000));
+    let mut other = report("h", 7, Some("i-9"));
+    if let Some(target) = &mut other.target {
+        target.owner.born = 2;
+        target.owner.host = address("i-1");
+    }
+
+    roster.report(at(5_100), other);
+    let commands = planner.step(at(5_110), &state, &roster);
+
+    let forget = Command::Forget {
+        owner: owner("i-1"),
+    };
+    assert_eq!(commands, [forget]);
+}
+
 /// Even load, in ten seconds, over all keys.
 fn even(each: u32) -> Vec<(u16, u32)> {
     (0..65_536_u32)
