Learn which work is part of other work, and keep queues short

A kind of work that comes from the hosts of one pool only is now taken for a part of that pool's work; other work queues for at most 0.35 of its objective, and what can still be answered in time goes first.

Tests replay an overload, nested work behind a queue and cut-off requests; the first failed until the pace of the target counted full times only.

--- a/wisteriaglade-fleet/src/frame.rs
+++ b/wisteriaglade-fleet/src/frame.rs
@@ -125,8 +125,8 @@
     pub(crate) kind: u64,
     /// The rank; 0 is the highest.
     pub(crate) priority: u32,
-    /// Whether another request that runs waits for it.
-    pub(crate) nested: bool,
+    /// The pool of the target beside the sender.
+    pub(crate) caller: Name,
     /// Whether it may run more than once.
     pub(crate) repeatable: bool,
     /// Whether it may wait for a slot.
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -200,7 +200,7 @@
             id,
             kind: offer.kind,
             priority: offer.priority,
-            nested: offer.nested,
+            caller: offer.caller.clone(),
             objective: now + Duration::from_millis(offer.objective.into()),
             deadline: now + left,
             waits: offer.waits,
--- a/wisteriaglade-fleet/src/host/exchange.rs
+++ b/wisteriaglade-fleet/src/host/exchange.rs
@@ -60,8 +60,6 @@
     pub(super) leaves: Duration,
     pub(super) rule: Arc<Rule>,
     pub(super) key: Option<u16>,
-    /// Whether the target beside this process sent it.
-    pub(super) nested: bool,
     pub(super) method: String,
     pub(super) target: String,
     pub(super) headers: Vec<(String, Bytes)>,
@@ -266,7 +264,7 @@
             request: exchange.id.clone(),
             kind: xxhash_rust::xxh3::xxh3_64(rule.name.as_bytes()),
             priority: rule.priority,
-            nested: exchange.nested,
+            caller: self.beside.pool.clone(),
             repeatable: rule.repeatable,
             waits,
             objective: left(exchange.received + rule.objective),
--- a/wisteriaglade-fleet/src/host/ingress.rs
+++ b/wisteriaglade-fleet/src/host/ingress.rs
@@ -75,7 +75,7 @@
         }
     }
 
-    async fn serve(&self, peer: SocketAddr, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let host = &self.host;
         let received = host.clock.now();
         let text = |name: &str| {
@@ -119,7 +119,6 @@
             leaves: received + patience,
             rule,
             key,
-            nested: peer.ip() == host.settings.link.ip(),
             method: head.method.as_str().to_owned(),
             target: head
                 .uri
@@ -198,7 +197,7 @@
 }
 
 impl<D: Dialect> Service for Ingress<D> {
-    async fn answer(&self, peer: SocketAddr, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, _: SocketAddr, request: Request<Incoming>) -> Response<Full<Bytes>> {
         if self.host.is_closed() {
             let id = request.headers().get(D::REQUEST_ID);
             info!(event = "refused", request = ?id, reason = "closed");
@@ -208,7 +207,7 @@
             return response;
         }
         let _open = Open::new(&self.host);
-        self.serve(peer, request).await
+        self.serve(request).await
     }
 }
 
--- a/wisteriaglade-mesh/src/lib.rs
+++ b/wisteriaglade-mesh/src/lib.rs
@@ -48,6 +48,7 @@
 //! ```
 
 mod allowance;
+mod callers;
 mod choice;
 mod command;
 mod directory;
--- a/wisteriaglade-mesh/src/queue.rs
+++ b/wisteriaglade-mesh/src/queue.rs
@@ -6,6 +6,9 @@
 };
 
 use serde::{Deserialize, Serialize};
+use wisteriaglade_types::Name;
+
+use crate::callers::Callers;
 
 /// The weight of a new sample in a mean.
 const GAIN: f64 = 0.1;
@@ -17,6 +20,10 @@
 /// their callers do.
 const BACKLOG: f64 = 6.0;
 
+/// The part of the time to the objective that a request may be expected to
+/// wait. A longer queue serves no more requests, but more of them late.
+const WAIT_PART: f64 = 0.35;
+
 /// The shortest Retry-After: an earlier return finds the same queue.
 const RETURN_MIN: Duration = Duration::from_millis(50);
 
@@ -29,8 +36,8 @@
     pub kind: u64,
     /// The rank; 0 is the highest.
     pub priority: u32,
-    /// Whether another request that runs already waits for it.
-    pub nested: bool,
+    /// The pool of the target beside which it began.
+    pub caller: Name,
     /// When its answer stops being worth most.
     pub objective: Duration,
     /// When its caller leaves.
@@ -157,6 +164,7 @@
     slots: u32,
     limit: f64,
     next: u64,
+    callers: Callers,
     waiting: BTreeMap<Place, Waiting>,
     running: HashMap<u64, Running>,
     /// The mean time of each kind of work, in seconds.
@@ -176,6 +184,7 @@
             slots: slots.max(1),
             limit: f64::from(slots.max(1)),
             next: 0,
+            callers: Callers::default(),
             waiting: BTreeMap::new(),
             running: HashMap::new(),
             means: HashMap::new(),
@@ -220,6 +229,7 @@
     pub fn arrive(&mut self, now: Duration, arrival: Arrival, effects: &mut Vec<Effect>) {
         self.expire(now, effects);
         let id = arrival.id;
+        let nested = self.callers.note(arrival.kind, &arrival.caller);
         if self.running.len() < self.room() as usize && self.waiting.is_empty() {
             let kind = arrival.kind;
             self.running.insert(id, Running { kind, since: now });
@@ -230,7 +240,7 @@
             return;
         }
         let place = Place {
-            outer: !arrival.nested,
+            outer: !nested,
             priority: arrival.priority,
             number: self.next,
         };
@@ -241,14 +251,17 @@
         let is_full = self.waiting.len() as f64 >= self.limit * BACKLOG;
         // A nested request that is turned away fails the request that waits for
         // it and the work already done for that one.
-        let end = if arrival.nested {
+        let end = if nested {
             arrival.deadline
         } else {
             arrival.objective.min(arrival.deadline)
         };
+        let left = arrival.objective.saturating_sub(now);
         let reason = if !arrival.waits {
             Some(Reason::Full)
-        } else if (is_full && !arrival.nested) || now + wait + work.mul_f64(1.5) > end {
+        } else if !nested && (is_full || wait > left.mul_f64(WAIT_PART)) {
+            Some(Reason::Late)
+        } else if now + wait + work > end {
             Some(Reason::Late)
         } else {
             None
@@ -267,15 +280,15 @@
         if let Some(running) = self.running.remove(&id) {
             self.measure(now, &running, finish);
         }
-        let last = self.ended.take();
-        if was_full && finish != Finish::Shed {
-            if let Some(last) = last {
-                let interval = now.saturating_sub(last).as_secs_f64();
-                self.interval += (interval - self.interval) * GAIN;
-            }
-            self.ended = Some(now);
+        if let Some(last) = self.ended.take().filter(|_| finish != Finish::Shed) {
+            let interval = now.saturating_sub(last).as_secs_f64();
+            self.interval += (interval - self.interval) * GAIN;
         }
         self.fill(now, effects);
+        // The time to the next end counts when no slot is free until then.
+        if was_full && self.running.len() >= self.room() as usize {
+            self.ended = Some(now);
+        }
     }
 
     /// Takes the time of a request. One that was cut off would have taken
@@ -341,7 +354,7 @@
     fn fill(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         self.expire(now, effects);
         while self.running.len() < self.room() as usize {
-            let Some((_, waiting)) = self.waiting.pop_first() else {
+            let Some(waiting) = self.next(now).and_then(|place| self.waiting.remove(&place)) else {
                 return;
             };
             let Arrival { id, kind, .. } = waiting.arrival;
@@ -351,6 +364,21 @@
         }
     }
 
+    /// The request to start next: the first one in order that can still be
+    /// answered within its objective, or the first one if none can.
+    fn next(&self, now: Duration) -> Option<Place> {
+        let is_timely = |place: &Place, waiting: &Waiting| {
+            let arrival = &waiting.arrival;
+            !place.outer || now + self.mean_of(arrival.kind) <= arrival.objective
+        };
+        let timely = self
+            .waiting
+            .iter()
+            .find(|(place, waiting)| is_timely(place, waiting));
+        let (place, _) = timely.or_else(|| self.waiting.first_key_value())?;
+        Some(*place)
+    }
+
     /// How long a request at this place is expected to wait.
     fn wait(&self, now: Duration, place: Place) -> Duration {
         let ahead = self.waiting.range(..place);
--- /dev/null
+++ b/wisteriaglade-mesh/tests/queue.rs
@@ -0,0 +1,133 @@
+//! Admission of requests to a target.
+
+use std::time::Duration;
+
+use wisteriaglade_mesh::{Arrival, Effect, Finish, Queue, Reason};
+
+const LONG: u64 = 1;
+const SHORT: u64 = 2;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn arrival(id: u64, kind: u64, caller: &str, now: u64) -> Arrival {
+    let (objective, deadline) = if kind == LONG {
+        (500, 1200)
+    } else {
+        (150, 500)
+    };
+    Arrival {
+        id,
+        kind,
+        priority: 1,
+        caller: caller.into(),
+        objective: at(now + objective),
+        deadline: at(now + deadline),
+        waits: true,
+    }
+}
+
+/// A queue of one slot that has seen where both kinds come from: long work
+/// from every pool, short work from `catalogue` only.
+fn learned() -> Queue {
+    let mut queue = Queue::new(1);
+    let mut effects = Vec::new();
+    let mut now = 0;
+    for id in 0..60 {
+        let pool = ["catalogue", "bookings", "ledger"][usize::try_from(id).unwrap_or(0) % 3];
+        queue.arrive(at(now), arrival(id, LONG, pool, now), &mut effects);
+        now += 100;
+        queue.finish(at(now), id, Finish::Done, &mut effects);
+        let short = 1_000 + id;
+        queue.arrive(
+            at(now),
+            arrival(short, SHORT, "catalogue", now),
+            &mut effects,
+        );
+        now += 20;
+        queue.finish(at(now), short, Finish::Done, &mut effects);
+    }
+    queue
+}
+
+/// The load pattern: work that other running work waits for arrives behind a
+/// queue of independent work.
+#[test]
+fn work_that_others_wait_for_starts_first() {
+    let mut queue = learned();
+    let mut effects = Vec::new();
+    queue.arrive(at(10_000), arrival(1, LONG, "ledger", 10_000), &mut effects);
+    queue.arrive(at(10_001), arrival(2, LONG, "ledger", 10_001), &mut effects);
+    queue.arrive(
+        at(10_002),
+        arrival(3, SHORT, "catalogue", 10_002),
+        &mut effects,
+    );
+    effects.clear();
+
+    queue.finish(at(10_100), 1, Finish::Done, &mut effects);
+
+    let waited = at(98);
+    assert_eq!(effects, [Effect::Start { id: 3, waited }]);
+}
+
+/// The load pattern: demand above the capacity. What is admitted is answered
+/// within its objective, and the rest is rejected at once.
+#[test]
+fn an_overloaded_target_answers_what_it_admits_in_time() {
+    let mut queue = learned();
+    let mut effects = Vec::new();
+    let mut started: Vec<(u64, u64)> = Vec::new();
+    let mut rejected = 0;
+    let mut running = None;
+    for now in 10_000..20_000 {
+        if now % 50 == 0 {
+            queue.arrive(at(now), arrival(now, LONG, "ledger", now), &mut effects);
+        }
+        if let Some((id, end)) = running
+            && end == now
+        {
+            running = None;
+            queue.finish(at(now), id, Finish::Done, &mut effects);
+        }
+        for effect in effects.drain(..) {
+            match effect {
+                Effect::Start { id, .. } => {
+                    started.push((id, now));
+                    running = Some((id, now + 100));
+                }
+                Effect::Reject { reason, .. } => {
+                    assert_eq!(reason, Reason::Late);
+                    rejected += 1;
+                }
+            }
+        }
+    }
+
+    assert!(
+        started.len() >= 98,
+        "the target was idle: {}",
+        started.len()
+    );
+    assert!(rejected >= 90, "only {rejected} of 200 were rejected");
+    let late = started.iter().filter(|(id, start)| start + 100 > id + 500);
+    assert_eq!(late.count(), 0);
+}
+
+/// Guards against means that leave out the requests that were cut off: a
+/// target that became slow would look as fast as before.
+#[test]
+fn requests_that_are_cut_off_raise_the_expected_time() {
+    let mut queue = learned();
+    let mut effects = Vec::new();
+    let before = queue.measured();
+
+    for id in 1..30 {
+        let now = 10_000 + id * 1_000;
+        queue.arrive(at(now), arrival(id, LONG, "ledger", now), &mut effects);
+        queue.finish(at(now + 900), id, Finish::Cancelled, &mut effects);
+    }
+
+    assert!(queue.measured() > before.map(|mean| mean * 3));
+}
