--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,189 @@
+//! The whole path on the users' platform, with real processes.
+
+mod support;
+
+use std::time::Duration;
+
+use http::StatusCode;
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+use support::mesh::Mesh;
+
+/// The time in which the platform expects service after a loss.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// The first start of a fleet, in which groups form and keys are divided.
+const START: Duration = Duration::from_secs(15);
+
+/// Seeds of the soak that CI plays. Each seed that ever failed stays here with
+/// a line on the cause.
+const SEEDS: [u64; 1] = [1];
+
+/// Faults in one run of the soak.
+const FAULTS: usize = 6;
+
+async fn ready(mesh: &Mesh) {
+    for host in 0..mesh.hosts.len() {
+        if !mesh.hosts[host].is_control {
+            mesh.serves(host, 7, START).await;
+        }
+    }
+}
+
+/// Guards against a fleet that does not form, and against work that runs twice
+/// or for the wrong caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn every_request_reaches_its_owner_once() {
+    let mesh = Mesh::start(1, 3, 2, 2).await;
+    ready(&mesh).await;
+
+    for number in 0..60_u16 {
+        let host = 3 + usize::from(number % 4);
+        let id = format!("book-{number}");
+        let (status, text) = mesh.ask(host, "book", &id, number).await;
+        assert_eq!(status, StatusCode::OK, "{text}");
+        assert!(text.starts_with(&format!("{id} by ")), "{text}");
+        let read = format!("read-{number}");
+        let (status, text) = mesh.ask(host, "read", &read, number * 1_000).await;
+        assert_eq!(status, StatusCode::OK, "{text}");
+    }
+
+    mesh.check();
+    let book = mesh.book.lock().unwrap();
+    assert!((0..60).all(|number| book.runs.get(&format!("book-{number}")) == Some(&1)));
+}
+
+/// Guards against the loss of an accepted plan together with two disks of
+/// five, and against a former replica that votes again under its old number.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_plan_survives_the_loss_of_two_disks() {
+    let mut mesh = Mesh::start(2, 5, 1, 1).await;
+    ready(&mesh).await;
+    let accepted = mesh.configure().await;
+
+    for host in &mut mesh.hosts[..5] {
+        host.kill();
+    }
+    for host in &mut mesh.hosts[..5] {
+        if host.address.octets()[3] <= 2 {
+            host.wipe();
+        }
+        host.start();
+    }
+
+    assert_eq!(mesh.version(RECOVERY).await, accepted);
+    let next = mesh.configure().await;
+    assert_eq!(mesh.version(RECOVERY).await, next);
+    mesh.serves(5, 7, RECOVERY).await;
+    mesh.check();
+}
+
+/// Guards against a request that is cut by a planned end of the process that
+/// took it, and against keys that stay away after its restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_ends_cuts_no_request() {
+    let mut mesh = Mesh::start(3, 1, 1, 1).await;
+    ready(&mesh).await;
+
+    let process = mesh.hosts[1].process.take();
+    let mut process = process.expect("a running process");
+    process.terminate();
+    let mut bad = Vec::new();
+    for number in 0..40_u16 {
+        let id = format!("read-{number}");
+        let (status, text) = mesh.ask(1, "read", &id, number).await;
+        if status != StatusCode::OK {
+            bad.push((number, status, text));
+        }
+    }
+    let status = process.wait(Duration::from_secs(6)).await;
+    mesh.hosts[1].start();
+
+    assert_eq!(bad, []);
+    assert!(status.success(), "{status}");
+    mesh.serves(1, 7, RECOVERY).await;
+    mesh.check();
+}
+
+/// Guards against an end on SIGHUP.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hang_up_ends_no_process() {
+    let mut mesh = Mesh::start(4, 1, 1, 1).await;
+    ready(&mesh).await;
+
+    for host in &mesh.hosts {
+        host.process.as_ref().expect("a running process").hang_up();
+    }
+
+    mesh.serves(1, 7, START).await;
+    for host in &mut mesh.hosts {
+        let process = host.process.as_mut().expect("a running process");
+        assert_eq!(process.ended(), None);
+    }
+}
+
+/// Kills, pauses, ends and restarts processes at random while requests run.
+/// `SOAK_SEEDS=FROM..TO` plays other seeds.
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_under_random_faults() {
+    let range = std::env::var("SOAK_SEEDS").ok().and_then(|text| {
+        let (from, to) = text.split_once("..")?;
+        Some(from.parse().ok()?..to.parse().ok()?)
+    });
+    let seeds: Vec<u64> = range.map_or_else(|| SEEDS.to_vec(), Iterator::collect);
+    for seed in seeds {
+        println!("soak seed {seed}");
+        soak(seed).await;
+    }
+}
+
+async fn soak(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let net = 10 + u8::try_from(seed % 200).unwrap_or(0);
+    let mut mesh = Mesh::start(net, 5, 2, 2).await;
+    ready(&mesh).await;
+    let mut number = 0;
+    for _ in 0..FAULTS {
+        let victim = random.random_range(0..mesh.hosts.len());
+        let fault = random.random_range(0..4);
+        println!("fault {fault} on host {victim}");
+        match fault {
+            0 => mesh.hosts[victim].kill(),
+            1 => mesh.hosts[victim].process.as_ref().unwrap().pause(),
+            2 => mesh.hosts[victim].process.as_ref().unwrap().terminate(),
+            _ => {
+                mesh.hosts[victim].kill();
+                mesh.hosts[victim].wipe();
+            }
+        }
+        for _ in 0..random.random_range(20..120) {
+            number += 1;
+            let host = random.random_range(5..mesh.hosts.len());
+            let key = random.random_range(0..=u16::MAX);
+            if host != victim {
+                let book = format!("book-{seed}-{number}");
+                let read = format!("read-{seed}-{number}");
+                tokio::join!(
+                    mesh.ask(host, "book", &book, key),
+                    mesh.ask(host, "read", &read, key)
+                );
+            }
+        }
+        let host = &mut mesh.hosts[victim];
+        match fault {
+            1 => host.process.as_ref().unwrap().resume(),
+            2 => {
+                let mut process = host.process.take().unwrap();
+                process.wait(Duration::from_secs(8)).await;
+                host.start();
+            }
+            _ => host.start(),
+        }
+        let expected = mesh.configure().await;
+        assert_eq!(mesh.version(RECOVERY).await, expected, "seed {seed}");
+        mesh.check();
+    }
+    for host in 5..mesh.hosts.len() {
+        mesh.serves(host, 7, RECOVERY).await;
+    }
+    mesh.check();
+}
--- /dev/null
+++ b/tests/support/mesh.rs
@@ -0,0 +1,492 @@
+//! A fleet on the users' platform: real processes, and stand-ins for the
+//! servers, their heartbeats and the operator.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+
+use super::{
+    client::Client,
+    process::{Process, show},
+    within,
+};
+
+const CONTROL: u16 = 8620;
+const CALLERS: u16 = 8629;
+const READY: u16 = 8625;
+const SERVER: u16 = 8628;
+const LINK: u16 = 7600;
+
+/// The interval of heartbeats.
+const BEAT: Duration = Duration::from_millis(250);
+
+/// The work of a request.
+const WORK: Duration = Duration::from_millis(15);
+
+/// Two holders for longer than this break the promise of one owner.
+const OVERLAP: Duration = Duration::from_millis(500);
+
+/// What the servers and the checker share.
+#[derive(Debug, Default)]
+pub struct Book {
+    /// How often each request has begun to run.
+    pub runs: HashMap<String, u32>,
+    /// Broken promises.
+    pub broken: Vec<String>,
+    /// The fencing tokens and holders of each sixteenth of the keys.
+    holders: BTreeMap<u16, Holder>,
+}
+
+#[derive(Debug)]
+struct Holder {
+    server: String,
+    fence: u64,
+    until: Instant,
+}
+
+impl Book {
+    /// Notes that a server holds a part of the keys until `until`.
+    fn hold(&mut self, part: u16, server: &str, fence: u64, until: Instant) {
+        let now = Instant::now();
+        if let Some(other) = self.holders.get(&part)
+            && other.server != server
+        {
+            if other.until > now + OVERLAP {
+                let left = other.until - now;
+                let text = format!("keys {part}: {server} and {} for {left:?}", other.server);
+                self.broken.push(text);
+            }
+            if fence <= other.fence {
+                let text = format!("keys {part}: token {fence} after {}", other.fence);
+                self.broken.push(text);
+            }
+        }
+        let server = server.to_owned();
+        self.holders.insert(part, Holder { server, fence, until });
+    }
+
+    /// Notes that a server has let go.
+    fn release(&mut self, part: u16, server: &str) {
+        if let Some(holder) = self.holders.get_mut(&part)
+            && holder.server == server
+        {
+            holder.until = Instant::now();
+        }
+    }
+}
+
+/// A stand-in for an application server.
+#[derive(Debug)]
+struct Server {
+    id: String,
+    born: u64,
+    service: String,
+    address: SocketAddr,
+    control: SocketAddr,
+    sharded: bool,
+    book: Arc<Mutex<Book>>,
+    held: Mutex<Vec<(u16, u16, u64, Instant)>>,
+    released: Mutex<Vec<(u16, u16, String)>>,
+    seq: Mutex<u64>,
+}
+
+impl Server {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let header = |name: &str| {
+            let value = request.headers().get(name)?;
+            Some(value.to_str().ok()?.to_owned())
+        };
+        let id = header("x-wisteriaglade-request-id").unwrap_or_default();
+        let expected = header("x-wisteriaglade-target-instance");
+        let key = header("x-wisteriaglade-shard-key").and_then(|key| key.parse::<u16>().ok());
+        let now = Instant::now();
+        let holds = key.is_some_and(|key| {
+            let held = self.held.lock().unwrap();
+            held.iter()
+                .any(|(from, to, _, until)| (*from..=*to).contains(&key) && *until > now)
+        });
+        if expected.is_some_and(|expected| expected != self.id) || (self.sharded && !holds) {
+            return Response::builder()
+                .status(StatusCode::MISDIRECTED_REQUEST)
+                .header("x-wisteriaglade-not-executed", "1")
+                .body(Full::default())
+                .unwrap();
+        }
+        *self.book.lock().unwrap().runs.entry(id.clone()).or_default() += 1;
+        let body = request.into_body().collect().await;
+        sleep(WORK).await;
+        let text = format!("{id} by {} {}", self.id, body.map_or(0, |b| b.to_bytes().len()));
+        Response::builder()
+            .header("x-wisteriaglade-request-id", &id)
+            .header("x-wisteriaglade-response-seal", format!("seal-{id}"))
+            .body(Full::new(Bytes::from(text)))
+            .unwrap()
+    }
+
+    /// Sends one heartbeat and obeys the answer.
+    async fn beat(&self, client: &Client) {
+        let sent = Instant::now();
+        let (holds, released) = {
+            let mut held = self.held.lock().unwrap();
+            held.retain(|(_, _, _, until)| *until > sent);
+            let holds: Vec<_> = held.iter().map(|(a, b, fence, _)| (*a, *b, *fence)).collect();
+            (holds, self.released.lock().unwrap().clone())
+        };
+        let seq = {
+            let mut seq = self.seq.lock().unwrap();
+            *seq += 1;
+            *seq
+        };
+        let body = json!({
+            "service": self.service, "address": self.address.to_string(), "zone": "a",
+            "version": "v1", "slots": 6, "state": "ready", "cold-remaining-s": 0, "seq": seq,
+            "born": self.born, "holds": holds, "released": released,
+        });
+        let uri = format!(
+            "http://{}/rpc?call=instances.heartbeat&of={}",
+            self.control, self.id
+        );
+        let sending = client.send(Method::POST, &uri, HeaderMap::new(), body.to_string().into());
+        let Ok(Ok(answer)) = tokio::time::timeout(Duration::from_secs(1), sending).await else {
+            return;
+        };
+        if !answer.status.is_success() {
+            return;
+        }
+        self.released.lock().unwrap().retain(|row| !released.contains(row));
+        let answer: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        if let (Some(rows), Some(hold)) = (answer["holds"].as_array(), answer["hold-s"].as_f64()) {
+            self.obey(rows, sent + Duration::from_secs_f64(hold));
+        }
+    }
+
+    fn obey(&self, rows: &[Value], until: Instant) {
+        let number = |row: &Value, at: usize| row[at].as_u64().unwrap_or(0);
+        let key = |row: &Value, at: usize| u16::try_from(number(row, at)).unwrap_or(0);
+        let mut book = self.book.lock().unwrap();
+        let mut held = self.held.lock().unwrap();
+        for (from, to, fence, _) in held.drain(..) {
+            let stays = rows.iter().any(|row| {
+                key(row, 0) <= from && to <= key(row, 1) && number(row, 2) == fence
+            });
+            if !stays {
+                let token = format!("token-{from}-{fence}");
+                self.released.lock().unwrap().push((from, to, token));
+                for part in parts(from, to) {
+                    book.release(part, &self.id);
+                }
+            }
+        }
+        for row in rows {
+            let (from, to, fence) = (key(row, 0), key(row, 1), number(row, 2));
+            held.push((from, to, fence, until));
+            for part in parts(from, to) {
+                book.hold(part, &self.id, fence, until);
+            }
+        }
+    }
+}
+
+/// The sampled keys in a range.
+fn parts(from: u16, to: u16) -> impl Iterator<Item = u16> {
+    (0..=u16::MAX).step_by(512).filter(move |key| (from..=to).contains(key))
+}
+
+/// A host of the fleet.
+#[derive(Debug)]
+pub struct Host {
+    pub address: Ipv4Addr,
+    pub is_control: bool,
+    settings: PathBuf,
+    data: PathBuf,
+    log: PathBuf,
+    pub process: Option<Process>,
+    server: Option<JoinHandle<()>>,
+}
+
+impl Host {
+    /// Starts the process again.
+    pub fn start(&mut self) {
+        self.process = Some(Process::platform(&self.settings, &self.log));
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        if let Some(process) = self.process.take() {
+            process.kill();
+        }
+    }
+
+    /// Loses the disk.
+    pub fn wipe(&self) {
+        let _ = std::fs::remove_dir_all(&self.data);
+    }
+
+    /// The settings of a later start.
+    pub fn settle(&self) {
+        let text = std::fs::read_to_string(&self.settings).unwrap();
+        std::fs::write(&self.settings, text.replace("bootstrap=true", "bootstrap=false")).unwrap();
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        if let Some(server) = &self.server {
+            server.abort();
+        }
+    }
+}
+
+/// A fleet with `controls` control replicas and hosts with servers of a pool
+/// that is divided by key (`keyed`) and of one that is not (`plain`).
+#[derive(Debug)]
+pub struct Mesh {
+    pub hosts: Vec<Host>,
+    pub book: Arc<Mutex<Book>>,
+    pub client: Client,
+    version: u64,
+    _folder: TempDir,
+}
+
+impl Mesh {
+    /// Starts everything. `net` is the third octet of the loopback addresses
+    /// and must differ between tests that run at the same time.
+    pub async fn start(net: u8, controls: u8, keyed: u8, plain: u8) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let book = Arc::new(Mutex::new(Book::default()));
+        let seeds: Vec<String> = (1..=controls.min(3))
+            .map(|host| format!("127.9.{net}.{host}:{CONTROL}"))
+            .collect();
+        let mut hosts = Vec::new();
+        for number in 1..=controls + keyed + plain {
+            let address = Ipv4Addr::new(127, 9, net, number);
+            let is_control = number <= controls;
+            let service = if number <= controls + keyed { "keyed" } else { "plain" };
+            let data = folder.path().join(format!("data-{number}"));
+            let settings = folder.path().join(format!("{number}.conf"));
+            let mut text = format!(
+                "node=host-{number}\nzone=a\nlisten.control={address}:{CONTROL}\n\
+                 internal-ports={LINK},7615\nseeds={}\nbootstrap=true\nheartbeat-s=0.25\n\
+                 fault-tolerance.machines={}\nbounds.drain-s=2\nbounds.grace-s=6\n\
+                 bounds.max-hold-s=10\nbounds.retry-budget-ratio=0.2\n\
+                 bounds.budget-window-s=10\nbounds.budget-slack=50\n",
+                seeds.join(","),
+                (controls - 1) / 2
+            );
+            if is_control {
+                text += &format!("data-dir={}\n", data.display());
+            } else {
+                text += &format!(
+                    "listen.outbound={address}:{CALLERS}\nlisten.ready={address}:{READY}\n\
+                     app-addr={address}:{SERVER}\nservice={service}\n"
+                );
+            }
+            std::fs::write(&settings, text).unwrap();
+            let mut host = Host {
+                address,
+                is_control,
+                settings,
+                data,
+                log: folder.path().join(format!("{number}.log")),
+                process: None,
+                server: None,
+            };
+            host.start();
+            if !is_control {
+                host.server = Some(serve(address, service, Arc::clone(&book)).await);
+            }
+            hosts.push(host);
+        }
+        let mut mesh = Self {
+            hosts,
+            book,
+            client: Client::new(),
+            version: 0,
+            _folder: folder,
+        };
+        mesh.configure().await;
+        for host in &mesh.hosts {
+            host.settle();
+        }
+        mesh
+    }
+
+    /// Puts a new plan in force and returns its version.
+    pub async fn configure(&mut self) -> u64 {
+        let base = self.version;
+        let version = base + 2;
+        let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+            json!({"name": name, "path-prefix": prefix, "kind": kind, "timeout-s": 3.0,
+                "slo-s": 1.0, "priority": 0, "service": service, "max-attempts": 2})
+        };
+        let body = json!({
+            "version": version,
+            "services": [
+                {"name": "keyed", "max-conns": 60, "sharded": true},
+                {"name": "plain", "max-conns": 60}],
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 1_000_000,
+                "header-timeout-s": 3, "idle-timeout-s": 15},
+            "virtual-hosts": [{"host": "x.example", "paths": [
+                route("read", "/read/", "idempotent", "keyed"),
+                route("book", "/book/", "non_idempotent", "plain")]}]
+        })
+        .to_string();
+        let controls: Vec<_> = self.controls().collect();
+        let mut turn = 0;
+        within(Duration::from_secs(30), "a plan", || {
+            let control = controls[turn % controls.len()];
+            turn += 1;
+            let body = Bytes::from(body.clone());
+            let client = &self.client;
+            async move {
+                let mut headers = HeaderMap::new();
+                headers.insert("if-match", base.into());
+                let uri = format!("http://{control}/rpc?call=config.put");
+                let answer = client.send(Method::POST, &uri, headers, body).await;
+                match answer {
+                    Ok(answer) if answer.status == StatusCode::OK => Ok(()),
+                    Ok(answer) => Err(format!("{} {}", answer.status, answer.text())),
+                    Err(error) => Err(error.to_string()),
+                }
+            }
+        })
+        .await;
+        self.version = version;
+        version
+    }
+
+    /// The version that the control replicas give.
+    pub async fn version(&self, bound: Duration) -> u64 {
+        let controls: Vec<_> = self.controls().collect();
+        let mut turn = 0;
+        let (version, _) = within(bound, "the plan in force", || {
+            let control = controls[turn % controls.len()];
+            turn += 1;
+            let client = &self.client;
+            async move {
+                let uri = format!("http://{control}/rpc?call=config.get");
+                let sending = client.send(Method::POST, &uri, HeaderMap::new(), Bytes::new());
+                match tokio::time::timeout(Duration::from_secs(1), sending).await {
+                    Ok(Ok(answer)) if answer.status == StatusCode::OK => answer.json()["version"]
+                        .as_u64()
+                        .ok_or_else(|| answer.text()),
+                    Ok(Ok(answer)) => Err(format!("{} {}", answer.status, answer.text())),
+                    Ok(Err(error)) => Err(error.to_string()),
+                    Err(_) => Err("no answer".to_owned()),
+                }
+            }
+        })
+        .await;
+        version
+    }
+
+    fn controls(&self) -> impl Iterator<Item = SocketAddr> {
+        let controls = self.hosts.iter().filter(|host| host.is_control);
+        controls.map(|host| (host.address, CONTROL).into())
+    }
+
+    /// Sends one request through a host.
+    pub async fn ask(&self, host: usize, kind: &str, id: &str, key: u16) -> (StatusCode, String) {
+        let method = if kind == "read" { Method::GET } else { Method::POST };
+        let uri = format!("http://{}:{CALLERS}/{kind}/{id}", self.hosts[host].address);
+        let mut headers = HeaderMap::new();
+        headers.insert("host", "x.example".parse().unwrap());
+        headers.insert("x-wisteriaglade-request-id", id.parse().unwrap());
+        headers.insert("x-wisteriaglade-deadline-ms", 2_000.into());
+        headers.insert("x-wisteriaglade-shard-key", key.into());
+        match self.client.send(method, &uri, headers, Bytes::from_static(b"x")).await {
+            Ok(answer) => (answer.status, answer.text()),
+            Err(error) => (StatusCode::BAD_GATEWAY, error.to_string()),
+        }
+    }
+
+    /// Waits until a keyed request through a host is served.
+    pub async fn serves(&self, host: usize, key: u16, bound: Duration) -> Duration {
+        let mut turn = 0;
+        let (_, took) = within(bound, "a keyed request", || {
+            turn += 1;
+            let id = format!("probe-{host}-{key}-{turn}");
+            async move {
+                match self.ask(host, "read", &id, key).await {
+                    (StatusCode::OK, _) => Ok(()),
+                    (status, text) => Err(format!("{status} {text}")),
+                }
+            }
+        })
+        .await;
+        took
+    }
+
+    /// Fails the test when a promise is broken, and shows the logs.
+    pub fn check(&self) {
+        let book = self.book.lock().unwrap();
+        let mut broken = book.broken.clone();
+        let twice = book.runs.iter().filter(|(id, runs)| id.starts_with("book") && **runs > 1);
+        broken.extend(twice.map(|(id, runs)| format!("{id} ran {runs} times")));
+        if !broken.is_empty() {
+            for host in &self.hosts {
+                show(&host.log);
+            }
+            panic!("broken promises: {broken:#?}");
+        }
+    }
+}
+
+/// Starts a server and its heartbeats.
+async fn serve(address: Ipv4Addr, service: &str, book: Arc<Mutex<Book>>) -> JoinHandle<()> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let server = Arc::new(Server {
+        id: format!("i-{address}"),
+        born: u64::try_from(since.as_millis()).unwrap(),
+        service: service.to_owned(),
+        address: (address, SERVER).into(),
+        control: (address, CONTROL).into(),
+        sharded: service == "keyed",
+        book,
+        held: Mutex::default(),
+        released: Mutex::default(),
+        seq: Mutex::new(0),
+    });
+    let listener = TcpListener::bind(server.address).await.unwrap();
+    tokio::spawn(async move {
+        let beats = async {
+            let client = Client::new();
+            loop {
+                server.beat(&client).await;
+                let is_busy = !server.released.lock().unwrap().is_empty();
+                sleep(if is_busy { BEAT / 3 } else { BEAT }).await;
+            }
+        };
+        let accepts = async {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    continue;
+                };
+                let server = Arc::clone(&server);
+                tokio::spawn(async move {
+                    let service = service_fn(move |request| {
+                        let server = Arc::clone(&server);
+                        async move { Ok::<_, std::convert::Infallible>(server.answer(request).await) }
+                    });
+                    let connection = http1::Builder::new();
+                    // A caller that leaves ends the connection.
+                    let _ = connection.serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        };
+        tokio::join!(beats, accepts);
+    })
+}
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -25,11 +25,23 @@
 impl Process {
     /// Starts the binary with a settings file; its output is appended to `log`.
     pub fn start(settings: &Path, log: &Path) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wisteriaglade"));
+        command.arg("--settings").arg(settings);
+        Self::spawn(command, log)
+    }
+
+    /// Starts the binary with a settings file of the users' platform.
+    pub fn platform(settings: &Path, log: &Path) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wisteriaglade"));
+        command.arg("--platform");
+        command.env("WISTERIAGLADE_CONFIG", settings);
+        Self::spawn(command, log)
+    }
+
+    fn spawn(mut command: Command, log: &Path) -> Self {
         let output = OpenOptions::new().create(true).append(true).open(log);
         let output = output.unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_wisteriaglade"))
-            .arg("--settings")
-            .arg(settings)
+        let child = command
             .stdin(Stdio::null())
             .stdout(output.try_clone().unwrap())
             .stderr(output)
@@ -61,6 +73,11 @@
         self.signal(Signal::CONT);
     }
 
+    /// SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// SIGTERM.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
