Fetch large contents when a request is about to run, and test with real processes

The tests with real processes found that a control replica that is alone never began to lead: its first entry was applied before its role was reported.

--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -36,6 +36,12 @@
 /// The work of a request.
 const WORK: Duration = Duration::from_millis(15);
 
+/// How long a call of the operator may take.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+const PUT: &str = "/rpc?call=config.put";
+const GET: &str = "/rpc?call=config.get";
+
 /// Two holders for longer than this break the promise of one owner.
 const OVERLAP: Duration = Duration::from_millis(500);
 
@@ -75,7 +81,14 @@
             }
         }
         let server = server.to_owned();
-        self.holders.insert(part, Holder { server, fence, until });
+        self.holders.insert(
+            part,
+            Holder {
+                server,
+                fence,
+                until,
+            },
+        );
     }
 
     /// Notes that a server has let go.
@@ -125,10 +138,20 @@
                 .body(Full::default())
                 .unwrap();
         }
-        *self.book.lock().unwrap().runs.entry(id.clone()).or_default() += 1;
+        *self
+            .book
+            .lock()
+            .unwrap()
+            .runs
+            .entry(id.clone())
+            .or_default() += 1;
         let body = request.into_body().collect().await;
         sleep(WORK).await;
-        let text = format!("{id} by {} {}", self.id, body.map_or(0, |b| b.to_bytes().len()));
+        let text = format!(
+            "{id} by {} {}",
+            self.id,
+            body.map_or(0, |b| b.to_bytes().len())
+        );
         Response::builder()
             .header("x-wisteriaglade-request-id", &id)
             .header("x-wisteriaglade-response-seal", format!("seal-{id}"))
@@ -142,7 +165,10 @@
         let (holds, released) = {
             let mut held = self.held.lock().unwrap();
             held.retain(|(_, _, _, until)| *until > sent);
-            let holds: Vec<_> = held.iter().map(|(a, b, fence, _)| (*a, *b, *fence)).collect();
+            let holds: Vec<_> = held
+                .iter()
+                .map(|(a, b, fence, _)| (*a, *b, *fence))
+                .collect();
             (holds, self.released.lock().unwrap().clone())
         };
         let seq = {
@@ -155,19 +181,19 @@
             "version": "v1", "slots": 6, "state": "ready", "cold-remaining-s": 0, "seq": seq,
             "born": self.born, "holds": holds, "released": released,
         });
-        let uri = format!(
-            "http://{}/rpc?call=instances.heartbeat&of={}",
-            self.control, self.id
-        );
-        let sending = client.send(Method::POST, &uri, HeaderMap::new(), body.to_string().into());
+        let path = format!("/rpc?call=instances.heartbeat&of={}", self.id);
+        let sending = client.send(self.control, "POST", &path, &[], body.to_string());
         let Ok(Ok(answer)) = tokio::time::timeout(Duration::from_secs(1), sending).await else {
             return;
         };
         if !answer.status.is_success() {
             return;
         }
-        self.released.lock().unwrap().retain(|row| !released.contains(row));
-        let answer: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        self.released
+            .lock()
+            .unwrap()
+            .retain(|row| !released.contains(row));
+        let answer = answer.json();
         if let (Some(rows), Some(hold)) = (answer["holds"].as_array(), answer["hold-s"].as_f64()) {
             self.obey(rows, sent + Duration::from_secs_f64(hold));
         }
@@ -179,9 +205,9 @@
         let mut book = self.book.lock().unwrap();
         let mut held = self.held.lock().unwrap();
         for (from, to, fence, _) in held.drain(..) {
-            let stays = rows.iter().any(|row| {
-                key(row, 0) <= from && to <= key(row, 1) && number(row, 2) == fence
-            });
+            let stays = rows
+                .iter()
+                .any(|row| key(row, 0) <= from && to <= key(row, 1) && number(row, 2) == fence);
             if !stays {
                 let token = format!("token-{from}-{fence}");
                 self.released.lock().unwrap().push((from, to, token));
@@ -202,7 +228,9 @@
 
 /// The sampled keys in a range.
 fn parts(from: u16, to: u16) -> impl Iterator<Item = u16> {
-    (0..=u16::MAX).step_by(512).filter(move |key| (from..=to).contains(key))
+    (0..=u16::MAX)
+        .step_by(512)
+        .filter(move |key| (from..=to).contains(key))
 }
 
 /// A host of the fleet.
@@ -238,7 +266,11 @@
     /// The settings of a later start.
     pub fn settle(&self) {
         let text = std::fs::read_to_string(&self.settings).unwrap();
-        std::fs::write(&self.settings, text.replace("bootstrap=true", "bootstrap=false")).unwrap();
+        std::fs::write(
+            &self.settings,
+            text.replace("bootstrap=true", "bootstrap=false"),
+        )
+        .unwrap();
     }
 }
 
@@ -274,7 +306,11 @@
         for number in 1..=controls + keyed + plain {
             let address = Ipv4Addr::new(127, 9, net, number);
             let is_control = number <= controls;
-            let service = if number <= controls + keyed { "keyed" } else { "plain" };
+            let service = if number <= controls + keyed {
+                "keyed"
+            } else {
+                "plain"
+            };
             let data = folder.path().join(format!("data-{number}"));
             let settings = folder.path().join(format!("{number}.conf"));
             let mut text = format!(
@@ -352,14 +388,14 @@
             let body = Bytes::from(body.clone());
             let client = &self.client;
             async move {
-                let mut headers = HeaderMap::new();
-                headers.insert("if-match", base.into());
-                let uri = format!("http://{control}/rpc?call=config.put");
-                let answer = client.send(Method::POST, &uri, headers, body).await;
-                match answer {
-                    Ok(answer) if answer.status == StatusCode::OK => Ok(()),
-                    Ok(answer) => Err(format!("{} {}", answer.status, answer.text())),
-                    Err(error) => Err(error.to_string()),
+                let base = base.to_string();
+                let headers = [("if-match", base.as_str())];
+                let sending = client.send(control, "POST", PUT, &headers, body);
+                match tokio::time::timeout(PATIENCE, sending).await {
+                    Ok(Ok(answer)) if answer.status == StatusCode::OK => Ok(()),
+                    Ok(Ok(answer)) => Err(format!("{} {}", answer.status, answer.text())),
+                    Ok(Err(error)) => Err(error.to_string()),
+                    Err(_) => Err("no answer".to_owned()),
                 }
             }
         })
@@ -377,9 +413,8 @@
             turn += 1;
             let client = &self.client;
             async move {
-                let uri = format!("http://{control}/rpc?call=config.get");
-                let sending = client.send(Method::POST, &uri, HeaderMap::new(), Bytes::new());
-                match tokio::time::timeout(Duration::from_secs(1), sending).await {
+                let sending = client.send(control, "POST", GET, &[], Bytes::new());
+                match tokio::time::timeout(PATIENCE, sending).await {
                     Ok(Ok(answer)) if answer.status == StatusCode::OK => answer.json()["version"]
                         .as_u64()
                         .ok_or_else(|| answer.text()),
@@ -400,14 +435,23 @@
 
     /// Sends one request through a host.
     pub async fn ask(&self, host: usize, kind: &str, id: &str, key: u16) -> (StatusCode, String) {
-        let method = if kind == "read" { Method::GET } else { Method::POST };
-        let uri = format!("http://{}:{CALLERS}/{kind}/{id}", self.hosts[host].address);
-        let mut headers = HeaderMap::new();
-        headers.insert("host", "x.example".parse().unwrap());
-        headers.insert("x-wisteriaglade-request-id", id.parse().unwrap());
-        headers.insert("x-wisteriaglade-deadline-ms", 2_000.into());
-        headers.insert("x-wisteriaglade-shard-key", key.into());
-        match self.client.send(method, &uri, headers, Bytes::from_static(b"x")).await {
+        let method = if kind == "read" { "GET" } else { "POST" };
+        let path = format!("/{kind}/{id}");
+        let key = key.to_string();
+        let headers = [
+            ("host", "x.example"),
+            ("x-wisteriaglade-request-id", id),
+            ("x-wisteriaglade-deadline-ms", "2000"),
+            ("x-wisteriaglade-shard-key", key.as_str()),
+        ];
+        let address = SocketAddr::from((self.hosts[host].address, CALLERS));
+        // A body of bookings is longer than what travels with an offer.
+        let body = Bytes::from(vec![b'x'; if kind == "read" { 0 } else { 2_000 }]);
+        match self
+            .client
+            .send(address, method, &path, &headers, body)
+            .await
+        {
             Ok(answer) => (answer.status, answer.text()),
             Err(error) => (StatusCode::BAD_GATEWAY, error.to_string()),
         }
@@ -434,7 +478,10 @@
     pub fn check(&self) {
         let book = self.book.lock().unwrap();
         let mut broken = book.broken.clone();
-        let twice = book.runs.iter().filter(|(id, runs)| id.starts_with("book") && **runs > 1);
+        let twice = book
+            .runs
+            .iter()
+            .filter(|(id, runs)| id.starts_with("book") && **runs > 1);
         broken.extend(twice.map(|(id, runs)| format!("{id} ran {runs} times")));
         if !broken.is_empty() {
             for host in &self.hosts {
@@ -483,7 +530,9 @@
                     });
                     let connection = http1::Builder::new();
                     // A caller that leaves ends the connection.
-                    let _ = connection.serve_connection(TokioIo::new(stream), service).await;
+                    let _ = connection
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
                 });
             }
         };
--- a/wisteriaglade-fleet/src/control/replica.rs
+++ b/wisteriaglade-fleet/src/control/replica.rs
@@ -492,7 +492,11 @@
                         term = term.get(),
                         leader = leader.map_or(0, Replica::get)
                     );
-                    self.lead_from = (role == Role::Leader).then(|| self.raft.last());
+                    // A replica that is alone has applied its first entry by now.
+                    let applied = read(&self.handle.board).applied;
+                    let last = self.raft.last();
+                    let waits = role == Role::Leader && applied < last.get();
+                    self.lead_from = waits.then_some(last);
                 }
             }
         }
--- a/wisteriaglade-fleet/src/frame.rs
+++ b/wisteriaglade-fleet/src/frame.rs
@@ -19,6 +19,18 @@
     Pong,
     /// A request for the target beside the receiver.
     Offer(Offer),
+    /// Asks for the content of an offered request, which is about to run.
+    Fetch {
+        /// The request.
+        id: u64,
+    },
+    /// The content of an offered request.
+    Content {
+        /// The request.
+        id: u64,
+        /// The content.
+        content: Content,
+    },
     /// The caller has left.
     Cancel {
         /// The request.
@@ -135,6 +147,14 @@
     pub(crate) objective: u32,
     /// Milliseconds until nobody waits for the answer.
     pub(crate) deadline: u32,
+    /// What the target gets. A large content is left out and fetched when the
+    /// request is about to run, so that it crosses the network once.
+    pub(crate) content: Option<Content>,
+}
+
+/// What a target gets.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Content {
     /// The method.
     pub(crate) method: String,
     /// The path and query.
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -18,7 +18,7 @@
 use super::{Host, target::Failure, target::Target};
 use crate::{
     Dialect,
-    frame::{Answer, Frame, Offer, Outcome},
+    frame::{Answer, Content, Frame, Offer, Outcome},
     link::Port,
     lock,
     metrics::Why,
@@ -39,6 +39,10 @@
 /// about this time.
 pub(super) const RESTART: Duration = Duration::from_millis(700);
 
+/// How long the content of a request may take. Its sender may have to connect
+/// again.
+const FETCH: Duration = Duration::from_millis(600);
+
 /// A draining target takes new work for this part of the time that it may.
 const DRAIN_PART: f64 = 0.4;
 
@@ -93,6 +97,8 @@
     next: u64,
     ended: VecDeque<Ended>,
     outcomes: HashMap<Key, Option<Outcome>>,
+    /// Requests that are about to run and wait for their content.
+    fetches: HashMap<Key, oneshot::Sender<Content>>,
 }
 
 impl Admission {
@@ -106,6 +112,7 @@
                 next: 0,
                 ended: VecDeque::new(),
                 outcomes: HashMap::new(),
+                fetches: HashMap::new(),
             }),
         }
     }
@@ -140,6 +147,7 @@
     fn end(&mut self, id: u64, now: Duration, outcome: Option<&Outcome>) -> Option<Job> {
         let job = self.jobs.remove(&id)?;
         self.ids.remove(&job.key);
+        self.fetches.remove(&job.key);
         let kept = outcome.filter(|outcome| match outcome {
             Outcome::Answer(answer) => answer.body.len() <= KEEP_MAX && !job.offer.repeatable,
             _ => true,
@@ -179,6 +187,11 @@
         let refused = self.refuse(now, &offer);
         let mut inner = lock(&self.admission.inner);
         if let Some(id) = inner.ids.get(&key).copied() {
+            if inner.fetches.contains_key(&key)
+                && let Reply::Port(port) = &reply
+            {
+                port.send(Frame::Fetch { id: key.id });
+            }
             if let Some(job) = inner.jobs.get_mut(&id) {
                 job.reply = reply;
             }
@@ -351,8 +364,13 @@
         left: Duration,
         waited: Duration,
     ) {
+        let content = match &offer.content {
+            Some(content) => Some(content.clone()),
+            None => self.fetch(id).await,
+        };
         let start = self.clock.now();
-        let result = match request::<D>(offer, left) {
+        let request = content.and_then(|content| request::<D>(offer, &content, left));
+        let result = match request {
             Some(request) => {
                 let call = self.admission.target.call(request, offer.repeatable);
                 match timeout(left + OVERTIME, call).await {
@@ -360,7 +378,9 @@
                     Err(_) => Err(Failure::Broken("no answer within the deadline".to_owned())),
                 }
             }
-            None => Err(Failure::Unsent("the request cannot be written")),
+            None => Err(Failure::Unsent(
+                "the content did not arrive or cannot be written",
+            )),
         };
         let now = self.clock.now();
         let took = now.saturating_sub(start);
@@ -384,6 +404,31 @@
         self.carry_out::<D>(now, &mut inner, effects);
     }
 
+    /// Asks the sender of a request for its content.
+    async fn fetch(&self, id: u64) -> Option<Content> {
+        let content = {
+            let mut inner = lock(&self.admission.inner);
+            let job = inner.jobs.get(&id)?;
+            let key = job.key;
+            if let Reply::Port(port) = &job.reply {
+                port.send(Frame::Fetch { id: key.id });
+            }
+            let (sender, content) = oneshot::channel();
+            inner.fetches.insert(key, sender);
+            content
+        };
+        // The sender is dropped when the request is cancelled.
+        timeout(FETCH, content).await.ok()?.ok()
+    }
+
+    /// Takes the content of a request.
+    pub(super) fn deliver(&self, key: Key, content: Content) {
+        if let Some(fetch) = lock(&self.admission.inner).fetches.remove(&key) {
+            // The request may have been cancelled.
+            drop(fetch.send(content));
+        }
+    }
+
     /// What the target's response means.
     fn judge<D: Dialect>(
         &self,
@@ -466,12 +511,16 @@
 }
 
 /// The request for the target.
-fn request<D: Dialect>(offer: &Offer, left: Duration) -> Option<Request<Full<Bytes>>> {
-    let mut request = Request::new(Full::new(offer.body.clone()));
-    *request.method_mut() = offer.method.parse::<Method>().ok()?;
-    *request.uri_mut() = offer.target.parse::<Uri>().ok()?;
+fn request<D: Dialect>(
+    offer: &Offer,
+    content: &Content,
+    left: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::new(content.body.clone()));
+    *request.method_mut() = content.method.parse::<Method>().ok()?;
+    *request.uri_mut() = content.target.parse::<Uri>().ok()?;
     let headers = request.headers_mut();
-    for (name, value) in &offer.headers {
+    for (name, value) in &content.headers {
         let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
         headers.append(name, HeaderValue::from_bytes(value).ok()?);
     }
--- a/wisteriaglade-fleet/src/host/exchange.rs
+++ b/wisteriaglade-fleet/src/host/exchange.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use tokio::{sync::oneshot, time::timeout};
 use tracing::info;
 use wisteriaglade_mesh::{Candidate, Entry, Load, Reason, Rule};
@@ -14,17 +13,13 @@
 };
 use crate::{
     Dialect,
-    frame::{Answer, Offer, Outcome},
+    frame::{Answer, Content, Offer, Outcome},
     lock, read,
 };
 
 /// Targets that are asked for a free slot before the request queues at one.
 const PROBES: usize = 2;
 
-/// Requests with a longer body are offered to one target less before they
-/// queue: each offer carries the body.
-const LARGE: usize = 1024;
-
 /// Targets that one request is offered to at most; a rejection takes a round
 /// trip.
 const OFFERS: usize = 6;
@@ -60,10 +55,7 @@
     pub(super) leaves: Duration,
     pub(super) rule: Arc<Rule>,
     pub(super) key: Option<u16>,
-    pub(super) method: String,
-    pub(super) target: String,
-    pub(super) headers: Vec<(String, Bytes)>,
-    pub(super) body: Bytes,
+    pub(super) content: Content,
 }
 
 /// How a request of a caller ends.
@@ -170,7 +162,7 @@
             }
             let entry = match exchange.key.filter(|_| read(&self.view).is_sharded(pool)) {
                 Some(key) => self.holder(exchange, pool, key, tried).await,
-                None => self.choose(exchange, pool, tried),
+                None => self.choose(pool, tried),
             };
             let Some((entry, waits)) = entry else {
                 return tried.end(exchange, self.clock.now());
@@ -224,7 +216,7 @@
     }
 
     /// A target of a pool that is not divided by key.
-    fn choose(&self, exchange: &Exchange, pool: &Name, tried: &Tried) -> Option<(Entry, bool)> {
+    fn choose(&self, pool: &Name, tried: &Tried) -> Option<(Entry, bool)> {
         let now = self.clock.now();
         let view = read(&self.view);
         let entries: Vec<&Entry> = view
@@ -245,9 +237,8 @@
         let choice = lock(&self.choice);
         let ranked = choice.rank(now, &candidates, &draws);
         let best = entries.get(*ranked.first()?)?;
-        let probes = PROBES - usize::from(exchange.body.len() > LARGE);
         let waits =
-            entries.len() == 1 || tried.offers >= probes || choice.is_full(now, &best.owner.target);
+            entries.len() == 1 || tried.offers >= PROBES || choice.is_full(now, &best.owner.target);
         Some(((*best).clone(), waits))
     }
 
@@ -269,10 +260,7 @@
             waits,
             objective: left(exchange.received + rule.objective),
             deadline: left(exchange.deadline),
-            method: exchange.method.clone(),
-            target: exchange.target.clone(),
-            headers: exchange.headers.clone(),
-            body: exchange.body.clone(),
+            content: Some(exchange.content.clone()),
         }
     }
 
--- a/wisteriaglade-fleet/src/host/ingress.rs
+++ b/wisteriaglade-fleet/src/host/ingress.rs
@@ -24,6 +24,7 @@
 };
 use crate::{
     Dialect,
+    frame::Content,
     metrics::Ended,
     read,
     server::{self, Service, Unread},
@@ -119,14 +120,16 @@
             leaves: received + patience,
             rule,
             key,
-            method: head.method.as_str().to_owned(),
-            target: head
-                .uri
-                .path_and_query()
-                .map_or("/", |path| path.as_str())
-                .to_owned(),
-            headers: forwarded::<D>(&head.headers, &host.beside.pool),
-            body,
+            content: Content {
+                method: head.method.as_str().to_owned(),
+                target: head
+                    .uri
+                    .path_and_query()
+                    .map_or("/", |path| path.as_str())
+                    .to_owned(),
+                headers: forwarded::<D>(&head.headers, &host.beside.pool),
+                body,
+            },
         };
         let verdict = host.exchange::<D>(&exchange).await;
         self.conclude(&exchange, verdict, head.method == http::Method::HEAD)
--- a/wisteriaglade-fleet/src/host/peers.rs
+++ b/wisteriaglade-fleet/src/host/peers.rs
@@ -24,7 +24,7 @@
 };
 use crate::{
     Dialect,
-    frame::{Frame, Hello, Offer, Outcome},
+    frame::{Content, Frame, Hello, Offer, Outcome},
     link::{Link, Port, Sink},
     lock,
 };
@@ -32,6 +32,10 @@
 /// How long a request waits for a connection before another target is tried.
 const CONNECT: Duration = Duration::from_millis(250);
 
+/// The longest body that goes with an offer, in bytes. A longer one is fetched
+/// when the request is about to run.
+const INLINE: usize = 512;
+
 /// How long a host may be out of reach before its repeatable requests are
 /// taken for lost.
 const LOST: Duration = Duration::from_millis(700);
@@ -60,6 +64,8 @@
 #[derive(Debug)]
 struct Open {
     offer: Offer,
+    /// The content, if the offer leaves it out.
+    content: Option<Content>,
     since: Duration,
     /// The run of the process that it was sent to.
     sent: Option<u64>,
@@ -126,6 +132,12 @@
 
     /// Offers a request to another host.
     pub(super) fn offer(&self, now: Duration, address: SocketAddr, offer: Offer) -> Ticket {
+        let mut offer = offer;
+        let is_large = offer
+            .content
+            .as_ref()
+            .is_some_and(|content| content.body.len() > INLINE);
+        let content = offer.content.take_if(|_| is_large);
         let (reply, outcome) = oneshot::channel();
         let id = offer.id;
         let mut peers = lock(&self.inner);
@@ -145,6 +157,7 @@
         });
         let mut open = Open {
             offer,
+            content,
             since: now,
             sent: None,
             reply,
@@ -224,6 +237,14 @@
 impl Sink for Outbound {
     fn receive(&self, port: &Port, frame: Frame) {
         match frame {
+            Frame::Fetch { id } => {
+                let peers = lock(&self.inner);
+                let open = peers.get(&self.address).and_then(|peer| peer.open.get(&id));
+                // A request that was cancelled has no content any more.
+                if let Some(content) = open.and_then(|open| open.content.clone()) {
+                    port.send(Frame::Content { id, content });
+                }
+            }
             Frame::Outcome { id, outcome } => {
                 let mut peers = lock(&self.inner);
                 let open = peers
@@ -314,6 +335,7 @@
                 let reply = Reply::Port(port.clone());
                 self.host.offer::<D>(key(offer.id), offer, reply);
             }
+            Frame::Content { id, content } => self.host.deliver(key(id), content),
             Frame::Cancel { id } => self.host.cancel::<D>(key(id)),
             _ => warn!(event = "frame-unexpected", peer = %port.hello.address),
         }
