--- a/wisteriaglade-fleet/src/control/leader.rs
+++ b/wisteriaglade-fleet/src/control/leader.rs
@@ -9,7 +9,8 @@
 
 use tracing::{info, warn};
 use wisteriaglade_mesh::{
-    Command, Condition, Directory, Keys, Keyspace, Owner, Planner, Report, Roster, State,
+    Change, Command, Condition, Directory, Keys, Keyspace, Owner, Plan, Planner, Report, Roster,
+    State,
 };
 use wisteriaglade_wire::Clock;
 
@@ -36,6 +37,9 @@
 /// The shortest time between two directories for a host.
 const PUBLISH: Duration = Duration::from_millis(80);
 
+/// Plans of which the changes are sent to hosts that have an earlier one.
+const PLANS: usize = 16;
+
 /// How often a replica without a place in the group asks for one.
 const ASK: Duration = Duration::from_millis(300);
 
@@ -64,6 +68,8 @@
     absent: BTreeMap<u64, Duration>,
     asked: Duration,
     published: Duration,
+    /// The last plans that were published, by version.
+    plans: BTreeMap<u64, Plan>,
 }
 
 /// A host that reports to this leader.
@@ -74,7 +80,10 @@
     targets: Option<(u64, bool)>,
     /// The log entry of the key ranges that it was sent.
     keys: Option<u64>,
+    /// The plan that it was sent.
     version: u64,
+    /// An older plan that its last report named.
+    behind: Option<u64>,
 }
 
 impl Leader {
@@ -89,6 +98,7 @@
             absent: BTreeMap::new(),
             asked: Duration::ZERO,
             published: Duration::ZERO,
+            plans: BTreeMap::new(),
         };
         Self {
             settings,
@@ -229,13 +239,24 @@
             return;
         }
         inner.published = now;
+        if !inner.plans.contains_key(&version) {
+            inner.plans.insert(version, state.plan().clone());
+            while inner.plans.len() > PLANS {
+                inner.plans.pop_first();
+            }
+        }
         let replicas: Vec<_> = state.members().values().map(|member| member.link).collect();
         let hosts = u32::try_from(inner.roster.records().count()).unwrap_or(u32::MAX);
         let entries = inner.roster.entries();
         for subscriber in &mut inner.subscribers {
             if subscriber.version < version {
+                let old = inner.plans.get(&subscriber.version);
+                let change = old.and_then(|old| Change::between(old, state.plan()));
                 subscriber.version = version;
-                subscriber.port.send(Frame::Plan(state.plan().clone()));
+                subscriber.port.send(match change {
+                    Some(change) => Frame::PlanChange(change),
+                    None => Frame::Plan(state.plan().clone()),
+                });
             }
             let new_targets = subscriber.targets.replace(targets) != Some(targets);
             let known = subscriber.keys.replace(index);
@@ -278,7 +299,17 @@
                 targets: None,
                 keys: None,
                 version,
+                behind: None,
             });
+        } else if let Some(known) = inner
+            .subscribers
+            .iter_mut()
+            .find(|other| other.port.is(port))
+            && version < known.version
+            && known.behind.replace(version) == Some(version)
+        {
+            // Two reports in a row name an older plan: what was sent did not fit.
+            known.version = 0;
         }
         let owner = owner.filter(|owner| leased && !inner.roster.ended().contains(owner));
         let leader = self.clone();
--- a/wisteriaglade-fleet/src/frame.rs
+++ b/wisteriaglade-fleet/src/frame.rs
@@ -5,7 +5,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use wisteriaglade_consensus::Message;
-use wisteriaglade_mesh::{Directory, Load, Owner, Plan, Reason, Report};
+use wisteriaglade_mesh::{Change, Directory, Load, Owner, Plan, Reason, Report};
 use wisteriaglade_types::Name;
 
 /// A message between two processes of the fleet.
@@ -76,6 +76,8 @@
     },
     /// The plan in force.
     Plan(Plan),
+    /// How the plan has changed.
+    PlanChange(Change),
     /// A message of the consensus.
     Raft {
         /// The sender.
--- a/wisteriaglade-fleet/src/host/membership.rs
+++ b/wisteriaglade-fleet/src/host/membership.rs
@@ -9,7 +9,7 @@
 
 use tokio::time::timeout;
 use tracing::{info, warn};
-use wisteriaglade_mesh::Directory;
+use wisteriaglade_mesh::{Directory, Plan};
 
 use super::{Host, LEASE};
 use crate::{
@@ -186,6 +186,16 @@
         self.host.metrics.lease.set(left);
     }
 
+    fn replace(&self, plan: Plan, port: &Port) {
+        let version = plan.version;
+        if write(&self.host.view).replace(plan) {
+            info!(event = "plan", version, leader = %port.hello.address);
+            let version = i64::try_from(version).unwrap_or(i64::MAX);
+            self.host.metrics.plan.set(version);
+            self.host.viewed.notify_waiters();
+        }
+    }
+
     fn publish(&self, replicas: Vec<SocketAddr>, hosts: u32, directory: &Directory) {
         let host = &self.host;
         let mut view = write(&host.view);
@@ -227,13 +237,14 @@
                 hosts,
                 directory,
             } => self.publish(replicas, hosts, &directory),
-            Frame::Plan(plan) => {
-                let version = plan.version;
-                if write(&self.host.view).replace(plan) {
-                    info!(event = "plan", version, leader = %port.hello.address);
-                    let version = i64::try_from(version).unwrap_or(i64::MAX);
-                    self.host.metrics.plan.set(version);
-                    self.host.viewed.notify_waiters();
+            Frame::Plan(plan) => self.replace(plan, port),
+            Frame::PlanChange(change) => {
+                let old = read(&self.host.view).plan.clone();
+                // A change that builds on another plan is followed by the whole
+                // plan: the next report names the version that is known here.
+                match old.and_then(|old| change.apply(&old)) {
+                    Some(plan) => self.replace(plan, port),
+                    None => info!(event = "plan-change-unfit", from = change.from),
                 }
             }
             _ => warn!(event = "frame-unexpected", peer = %port.hello.address),
--- a/wisteriaglade-mesh/src/lib.rs
+++ b/wisteriaglade-mesh/src/lib.rs
@@ -49,6 +49,7 @@
 
 mod allowance;
 mod callers;
+mod change;
 mod choice;
 mod command;
 mod directory;
@@ -68,6 +69,7 @@
 
 pub use crate::{
     allowance::Allowance,
+    change::Change,
     choice::{Candidate, Choice},
     command::{Command, Reply},
     directory::{Directory, Entry, Keys},
--- /dev/null
+++ b/wisteriaglade-mesh/tests/change.rs
@@ -0,0 +1,81 @@
+//! The difference between two plans.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use wisteriaglade_mesh::{Change, Part, Plan, Pool, Rule, Table};
+
+fn rule(prefix: &str, pool: &str) -> Rule {
+    Rule {
+        name: prefix.into(),
+        host: "x.example".into(),
+        prefix: prefix.into(),
+        repeatable: true,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(300),
+        priority: 0,
+        attempts: 2,
+        split: vec![Part {
+            pool: pool.into(),
+            weight: 1.0,
+        }],
+    }
+}
+
+fn plan(version: u64, rules: &[(&str, &str)]) -> Plan {
+    let pools = ["a", "b"].map(|name| Pool {
+        name: name.into(),
+        connections: 1,
+        sharded: false,
+    });
+    Plan {
+        version,
+        pools: pools.into(),
+        rules: rules
+            .iter()
+            .map(|(prefix, pool)| rule(prefix, pool))
+            .collect(),
+        ..Plan::default()
+    }
+}
+
+/// Guards against a host whose rules differ from the operator's plan.
+#[rstest]
+#[case::same(&[("/a/", "a")], &[("/a/", "a")])]
+#[case::added(&[("/a/", "a")], &[("/a/", "a"), ("/b/", "b")])]
+#[case::removed(&[("/a/", "a"), ("/b/", "b")], &[("/b/", "b")])]
+#[case::moved(&[("/a/", "a"), ("/b/", "b")], &[("/a/", "b"), ("/b/", "b")])]
+#[case::all(&[("/a/", "a")], &[("/c/", "a"), ("/d/", "b")])]
+fn a_change_leads_to_the_later_plan(#[case] old: &[(&str, &str)], #[case] new: &[(&str, &str)]) {
+    let (old, new) = (plan(3, old), plan(8, new));
+
+    let change = Change::between(&old, &new).expect("no rules for the same requests");
+    let result = change.apply(&old).expect("the plan that it builds on");
+
+    assert_eq!(result.version, 8);
+    assert_eq!(result.rules.len(), new.rules.len());
+    let (result, expected) = (Table::new(&result), Table::new(&new));
+    for path in ["/a/1", "/b/1", "/c/1", "/d/1"] {
+        assert_eq!(
+            result.find("x.example", path),
+            expected.find("x.example", path)
+        );
+    }
+}
+
+/// Guards against a change on top of a plan that the host does not have.
+#[test]
+fn a_change_of_another_plan_is_not_applied() {
+    let change = Change::between(&plan(3, &[]), &plan(8, &[])).expect("a change");
+
+    assert_eq!(change.apply(&plan(4, &[])), None);
+}
+
+/// Guards against a change that loses the order of two rules for the same
+/// requests.
+#[test]
+fn rules_for_the_same_requests_are_sent_whole() {
+    let twins = plan(8, &[("/a/", "a"), ("/a/", "b")]);
+
+    assert_eq!(Change::between(&plan(3, &[]), &twins), None);
+}
