--- a/wisteriaglade-fleet/src/control/leader.rs
+++ b/wisteriaglade-fleet/src/control/leader.rs
@@ -239,7 +239,8 @@
             return;
         }
         inner.published = now;
-        if !inner.plans.contains_key(&version) {
+        // A host without a plan, of version 0, is sent the whole one.
+        if version > 0 && !inner.plans.contains_key(&version) {
             inner.plans.insert(version, state.plan().clone());
             while inner.plans.len() > PLANS {
                 inner.plans.pop_first();
--- a/wisteriaglade-fleet/src/host/exchange.rs
+++ b/wisteriaglade-fleet/src/host/exchange.rs
@@ -386,6 +386,7 @@
 struct Sent<'a> {
     host: &'a Host,
     target: &'a Name,
+    since: Duration,
     is_over: bool,
 }
 
@@ -395,6 +396,7 @@
         Self {
             host,
             target,
+            since: host.clock.now(),
             is_over: false,
         }
     }
@@ -407,7 +409,12 @@
         };
         let load = (load.limit > 0).then_some(load);
         let now = self.host.clock.now();
-        lock(&self.host.choice).ended(now, self.target, load);
+        let mut choice = lock(&self.host.choice);
+        choice.ended(now, self.target, load);
+        if let Outcome::Answer(answer) = outcome {
+            let there = Duration::from_millis((answer.waited + answer.took).into());
+            choice.transit(self.target, now.saturating_sub(self.since + there));
+        }
     }
 }
 
--- a/wisteriaglade-mesh/src/choice.rs
+++ b/wisteriaglade-mesh/src/choice.rs
@@ -19,6 +19,12 @@
 /// How long a target is passed over after it could not take a request.
 const AVOID: Duration = Duration::from_millis(400);
 
+/// The weight of a new sample of the time on the way.
+const TRANSIT_GAIN: f64 = 0.3;
+
+/// After this time a slow link may have room again.
+const TRANSIT_STALE: f64 = 1.5;
+
 /// The mean time of a request at a target that was never measured, in
 /// milliseconds.
 const FIRST: f64 = 100.0;
@@ -41,6 +47,8 @@
     /// Requests of this host that it has not answered.
     open: u32,
     avoid: Duration,
+    /// The time of recent requests on the way there and back, in milliseconds.
+    transit: f64,
 }
 
 /// What a host knows of the targets it sends requests to.
@@ -90,9 +98,12 @@
         let busy = jobs / limit;
         let wait = if busy > 1.0 { busy - 1.0 } else { 0.0 };
         let spread = (1.0 - trust).mul_add(0.5, 0.1) * (draw - 0.5);
+        // A link that delays requests is full; more would make it slower.
+        let idle = now.saturating_sub(known.at).as_secs_f64();
+        let transit = 2.0 * known.transit * (-idle / TRANSIT_STALE).exp();
         let avoid = if now < known.avoid { 10_000.0 } else { 0.0 };
         // A target that is nearly full may be full when the request arrives.
-        mean * (1.0 + busy.powi(3) + 2.0 * wait + spread + remote) + avoid
+        mean * (1.0 + busy.powi(3) + 2.0 * wait + spread + remote) + transit + avoid
     }
 
     /// Whether a target had no free slot a moment ago.
@@ -119,6 +130,12 @@
         }
     }
 
+    /// Notes how long a request was on the way to a target and back.
+    pub fn transit(&mut self, target: &Name, time: Duration) {
+        let known = self.targets.entry(target.clone()).or_default();
+        known.transit += (time.as_secs_f64() * 1000.0 - known.transit) * TRANSIT_GAIN;
+    }
+
     /// Notes that a target could not take a request.
     pub fn avoid(&mut self, now: Duration, target: &Name) {
         self.targets.entry(target.clone()).or_default().avoid = now + AVOID;
