--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -323,12 +323,13 @@
                 (controls - 1) / 2
             );
             if is_control {
-                text += &format!("data-dir={}\n", data.display());
+                text.push_str(&["data-dir=", &data.to_string_lossy(), "\n"].concat());
             } else {
-                text += &format!(
+                let beside = format!(
                     "listen.outbound={address}:{CALLERS}\nlisten.ready={address}:{READY}\n\
                      app-addr={address}:{SERVER}\nservice={service}\n"
                 );
+                text.push_str(&beside);
             }
             std::fs::write(&settings, text).unwrap();
             let mut host = Host {
@@ -460,7 +461,7 @@
     /// Waits until a keyed request through a host is served.
     pub async fn serves(&self, host: usize, key: u16, bound: Duration) -> Duration {
         let mut turn = 0;
-        let (_, took) = within(bound, "a keyed request", || {
+        let ((), took) = within(bound, "a keyed request", || {
             turn += 1;
             let id = format!("probe-{host}-{key}-{turn}");
             async move {
--- a/wisteriaglade-fleet/src/control/replica.rs
+++ b/wisteriaglade-fleet/src/control/replica.rs
@@ -36,8 +36,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(120);
 
 /// Five missed heartbeats; a shorter time would elect during a slow sync.
-const ELECTION: std::ops::Range<Duration> =
-    Duration::from_millis(600)..Duration::from_millis(1_000);
+const ELECTION: std::ops::Range<Duration> = Duration::from_millis(600)..Duration::from_secs(1);
 
 /// Applied entries after which a snapshot is taken.
 const SNAPSHOT: u64 = 512;
@@ -85,13 +84,16 @@
     Unknown,
 }
 
+/// Takes frames for other replicas.
+pub(super) type Outbox = tokio::sync::mpsc::UnboundedSender<(u64, Frame)>;
+
 /// Access to the thread.
 #[derive(Debug, Clone)]
 pub(super) struct Handle {
     inbox: mpsc::Sender<Input>,
     board: Arc<RwLock<Board>>,
     change: Arc<Notify>,
-    outbox: Arc<RwLock<Option<tokio::sync::mpsc::UnboundedSender<(u64, Frame)>>>>,
+    outbox: Arc<RwLock<Option<Outbox>>>,
     pub(super) stop: Arc<AtomicBool>,
 }
 
@@ -107,7 +109,7 @@
     }
 
     /// Where messages to other replicas go.
-    pub(super) fn attach(&self, outbox: tokio::sync::mpsc::UnboundedSender<(u64, Frame)>) {
+    pub(super) fn attach(&self, outbox: Outbox) {
         *write(&self.outbox) = Some(outbox);
     }
 
--- a/wisteriaglade-fleet/src/host.rs
+++ b/wisteriaglade-fleet/src/host.rs
@@ -46,7 +46,7 @@
 ///
 /// It has to outlast an election (about a second) with the report and the
 /// heartbeat after it (0.9 s); the keys of a lost host wait for its end.
-pub(crate) const LEASE: Duration = Duration::from_millis(3_000);
+pub(crate) const LEASE: Duration = Duration::from_secs(3);
 
 /// How often waiting requests and peers are looked at.
 const LOOK: Duration = Duration::from_millis(50);
--- a/wisteriaglade-fleet/src/host/beats.rs
+++ b/wisteriaglade-fleet/src/host/beats.rs
@@ -99,16 +99,16 @@
 impl<D: Dialect> Service for Beats<D> {
     async fn answer(&self, _: SocketAddr, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let call = D::call(request.method(), request.uri());
-        let (Some(Call::Beat(target)) | Some(Call::Leave(target))) = &call else {
+        if !matches!(call, Some(Call::Beat(_) | Call::Leave(_))) {
             return Self::fail(StatusCode::NOT_FOUND, "no such call");
-        };
-        let body = match server::body(request.into_body(), BODY_MAX).await {
-            Ok(body) => body,
-            Err(_) => return Self::fail(StatusCode::BAD_REQUEST, "the body is incomplete"),
+        }
+        let Ok(body) = server::body(request.into_body(), BODY_MAX).await else {
+            return Self::fail(StatusCode::BAD_REQUEST, "the body is incomplete");
         };
         match &call {
-            Some(Call::Beat(_)) => self.beat(target, &body),
-            _ => self.leave(target, &body),
+            Some(Call::Beat(target)) => self.beat(target, &body),
+            Some(Call::Leave(target)) => self.leave(target, &body),
+            _ => Self::fail(StatusCode::NOT_FOUND, "no such call"),
         }
     }
 }
--- a/wisteriaglade-fleet/src/host/exchange.rs
+++ b/wisteriaglade-fleet/src/host/exchange.rs
@@ -123,7 +123,7 @@
 impl Host {
     /// Finds a target for a request and passes on how it ended.
     pub(super) async fn exchange<D: Dialect>(self: &Arc<Self>, exchange: &Exchange) -> Verdict {
-        let pool = self.part(&exchange.rule);
+        let pool = part(&exchange.rule);
         lock(&self.allowance).earn(&pool);
         let left = exchange.deadline.saturating_sub(self.clock.now());
         let mut tried = Tried::default();
@@ -134,21 +134,6 @@
         }
     }
 
-    /// The pool for a request, by the weights of the rule.
-    fn part(&self, rule: &Rule) -> Name {
-        let total: f64 = rule.split.iter().map(|part| part.weight).sum();
-        let mut draw = rand::random::<f64>() * total;
-        for part in &rule.split {
-            draw -= part.weight;
-            if draw < 0.0 {
-                return part.pool.clone();
-            }
-        }
-        let last = rule.split.iter().rfind(|part| part.weight > 0.0);
-        let part = last.or(rule.split.first());
-        part.map_or_else(|| Name::from(""), |part| part.pool.clone())
-    }
-
     async fn attempts<D: Dialect>(
         self: &Arc<Self>,
         exchange: &Exchange,
@@ -367,6 +352,21 @@
     }
 }
 
+/// The pool for a request, by the weights of the rule.
+fn part(rule: &Rule) -> Name {
+    let total: f64 = rule.split.iter().map(|part| part.weight).sum();
+    let mut draw = rand::random::<f64>() * total;
+    for part in &rule.split {
+        draw -= part.weight;
+        if draw < 0.0 {
+            return part.pool.clone();
+        }
+    }
+    let last = rule.split.iter().rfind(|part| part.weight > 0.0);
+    let part = last.or(rule.split.first());
+    part.map_or_else(|| Name::from(""), |part| part.pool.clone())
+}
+
 impl Tried {
     /// The end of a request that no target took.
     fn end(&mut self, exchange: &Exchange, now: Duration) -> Verdict {
--- a/wisteriaglade-fleet/src/host/ingress.rs
+++ b/wisteriaglade-fleet/src/host/ingress.rs
@@ -38,7 +38,7 @@
 const STARTING: Duration = Duration::from_millis(300);
 
 /// How long a request without a time limit of its own may take.
-const UNLIMITED: Duration = Duration::from_secs(600);
+const UNLIMITED: Duration = Duration::from_mins(10);
 
 /// Headers that concern one connection only.
 const HOP: [&str; 8] = [
@@ -154,7 +154,7 @@
         };
         host.metrics.requests.get_or_create(&label).inc();
         let is_late = took > rule.objective;
-        let is_sampled = xxhash_rust::xxh3::xxh3_64(exchange.id.as_bytes()) % SAMPLE == 0;
+        let is_sampled = xxhash_rust::xxh3::xxh3_64(exchange.id.as_bytes()).is_multiple_of(SAMPLE);
         if outcome != "answer" || is_late || is_sampled {
             info!(
                 event = "request",
--- a/wisteriaglade-fleet/src/host/membership.rs
+++ b/wisteriaglade-fleet/src/host/membership.rs
@@ -242,9 +242,10 @@
                 let old = read(&self.host.view).plan.clone();
                 // A change that builds on another plan is followed by the whole
                 // plan: the next report names the version that is known here.
-                match old.and_then(|old| change.apply(&old)) {
-                    Some(plan) => self.replace(plan, port),
-                    None => info!(event = "plan-change-unfit", from = change.from),
+                if let Some(plan) = old.and_then(|old| change.apply(&old)) {
+                    self.replace(plan, port);
+                } else {
+                    info!(event = "plan-change-unfit", from = change.from);
                 }
             }
             _ => warn!(event = "frame-unexpected", peer = %port.hello.address),
--- a/wisteriaglade-mesh/src/choice.rs
+++ b/wisteriaglade-mesh/src/choice.rs
@@ -84,10 +84,9 @@
             return FIRST * (0.5 + draw + remote);
         };
         let limit = f64::from(known.load.limit.max(1));
-        let mean = if known.load.mean > 0.0 {
-            f64::from(known.load.mean)
-        } else {
-            FIRST
+        let mean = match known.load.mean {
+            Duration::ZERO => FIRST,
+            mean => mean.as_secs_f64() * 1000.0,
         };
         let age = now.saturating_sub(known.at).as_secs_f64() / STALE.as_secs_f64();
         let reported = f64::from(known.load.running + known.load.waiting);
--- a/wisteriaglade-mesh/src/plan.rs
+++ b/wisteriaglade-mesh/src/plan.rs
@@ -8,7 +8,7 @@
 use crate::Fault;
 
 /// The longest time limit of a rule. The operators' interface states it.
-const TIMEOUT_MAX: Duration = Duration::from_secs(600);
+const TIMEOUT_MAX: Duration = Duration::from_mins(10);
 
 /// A complete configuration.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
--- a/wisteriaglade-mesh/src/planner.rs
+++ b/wisteriaglade-mesh/src/planner.rs
@@ -18,7 +18,7 @@
 const SETTLE: Duration = Duration::from_millis(1200);
 
 /// A host that has not reported for this long takes no keys.
-const FRESH: Duration = Duration::from_millis(2000);
+const FRESH: Duration = Duration::from_secs(2);
 
 /// A target's clock may run 2% slow, and the leader's fast; 4% cover both.
 const DRIFT: f64 = 1.04;
--- a/wisteriaglade-mesh/src/queue.rs
+++ b/wisteriaglade-mesh/src/queue.rs
@@ -18,7 +18,7 @@
 
 /// Waiting requests for each request that runs. More would wait longer than
 /// their callers do.
-const BACKLOG: f64 = 6.0;
+const BACKLOG: usize = 6;
 
 /// The part of the time to the objective that a request may be expected to
 /// wait. A longer queue serves no more requests, but more of them late.
@@ -133,8 +133,8 @@
     pub waiting: u32,
     /// Requests that may run at the same time.
     pub limit: u32,
-    /// The mean time of a request in milliseconds.
-    pub mean: f32,
+    /// The mean time of a request.
+    pub mean: Duration,
 }
 
 /// The order of waiting requests: nested ones first, then by rank, then by
@@ -162,7 +162,6 @@
 #[derive(Debug)]
 pub struct Queue {
     slots: u32,
-    limit: f64,
     next: u64,
     callers: Callers,
     waiting: BTreeMap<Place, Waiting>,
@@ -182,7 +181,6 @@
     pub fn new(slots: u32) -> Self {
         Self {
             slots: slots.max(1),
-            limit: f64::from(slots.max(1)),
             next: 0,
             callers: Callers::default(),
             waiting: BTreeMap::new(),
@@ -196,10 +194,7 @@
 
     /// Takes the number of slots that the target announces.
     pub fn resize(&mut self, slots: u32) {
-        if slots.max(1) != self.slots {
-            self.slots = slots.max(1);
-            self.limit = f64::from(self.slots);
-        }
+        self.slots = slots.max(1);
     }
 
     /// How much the target has to do.
@@ -209,7 +204,7 @@
             running: count(self.running.len()),
             waiting: count(self.waiting.len()),
             limit: self.room(),
-            mean: (self.mean * 1000.0) as f32,
+            mean: Duration::from_secs_f64(self.mean),
         }
     }
 
@@ -248,7 +243,7 @@
         let wait = self.wait(now, place);
         let retry = wait.max(RETURN_MIN);
         let work = self.mean_of(arrival.kind);
-        let is_full = self.waiting.len() as f64 >= self.limit * BACKLOG;
+        let is_full = self.waiting.len() >= self.room() as usize * BACKLOG;
         // A nested request that is turned away fails the request that waits for
         // it and the work already done for that one.
         let end = if nested {
@@ -259,9 +254,9 @@
         let left = arrival.objective.saturating_sub(now);
         let reason = if !arrival.waits {
             Some(Reason::Full)
-        } else if !nested && (is_full || wait > left.mul_f64(WAIT_PART)) {
-            Some(Reason::Late)
-        } else if now + wait + work > end {
+        } else if (!nested && (is_full || wait > left.mul_f64(WAIT_PART)))
+            || now + wait + work > end
+        {
             Some(Reason::Late)
         } else {
             None
@@ -398,7 +393,7 @@
         // The next slot frees when the first of the running requests ends.
         let planned = work / room + left / room / (room + 1.0);
         // The target may have become slower than the means show.
-        let ahead = self.waiting.range(..place).count() as f64 + 1.0;
+        let ahead = f64::from(count(self.waiting.range(..place).count())) + 1.0;
         let paced = ahead * self.interval;
         Duration::from_secs_f64(planned.max(paced))
     }
@@ -408,7 +403,7 @@
     }
 
     fn room(&self) -> u32 {
-        (self.limit as u32).max(1)
+        self.slots
     }
 }
 
--- a/wisteriaglade-mesh/src/roster.rs
+++ b/wisteriaglade-mesh/src/roster.rs
@@ -13,6 +13,10 @@
 /// missing one for gone. Hosts report several times in this time.
 const COMPLETE: Duration = Duration::from_millis(2500);
 
+/// How long a report of a former run of a process may be under way. Runs are
+/// named by the time of day, which may be set back between two of them.
+const LATE: Duration = Duration::from_secs(1);
+
 /// How long a silent host stays in the directory. Other hosts see by
 /// themselves whether they reach it.
 const KEEP: Duration = Duration::from_secs(12);
@@ -83,6 +87,7 @@
     pub fn report(&mut self, now: Duration, report: Report) -> bool {
         if let Some(known) = self.records.get(&report.host)
             && known.report.session > report.session
+            && now.saturating_sub(known.seen) < LATE
         {
             return false;
         }
--- a/wisteriaglade-mesh/tests/planner.rs
+++ b/wisteriaglade-mesh/tests/planner.rs
@@ -135,7 +135,7 @@
 }
 
 /// A pool of three targets with 4 slots, of which `busy` gets the load.
-fn loaded(heat: Vec<(u16, u32)>, means: [u32; 3]) -> (State, Roster) {
+fn loaded(heat: &[(u16, u32)], means: [u32; 3]) -> (State, Roster) {
     let mut state = state();
     let third = u16::MAX / 3;
     let spans = [
@@ -188,6 +188,20 @@
     assert_eq!(commands, [forget]);
 }
 
+/// Guards against a host that is ignored for good: its clock was set back
+/// before it restarted.
+#[test]
+fn a_host_that_restarts_with_an_earlier_time_of_day_is_heard() {
+    let mut roster = Roster::new(at(0));
+    roster.report(at(1_000), report("h", 9_000, Some("i-1")));
+
+    let late = roster.report(at(1_200), report("h", 7_000, Some("i-1")));
+    let restarted = roster.report(at(2_200), report("h", 7_000, Some("i-1")));
+
+    assert!(!late);
+    assert!(restarted);
+}
+
 /// Even load, in ten seconds, over all keys.
 fn even(each: u32) -> Vec<(u16, u32)> {
     (0..65_536_u32)
@@ -199,7 +213,7 @@
 /// The load pattern: one target is half as fast as the others.
 #[test]
 fn a_slow_target_passes_keys_on() {
-    let (state, roster) = loaded(even(25), [200, 100, 100]);
+    let (state, roster) = loaded(&even(25), [200, 100, 100]);
 
     let commands = Planner::new(LEASE).step(at(1_100), &state, &roster);
 
@@ -219,7 +233,7 @@
     let mut heat = even(15);
     heat.push((1_000 / 128 * 128, 300));
     heat.sort_unstable();
-    let (state, roster) = loaded(heat, [100, 100, 100]);
+    let (state, roster) = loaded(&heat, [100, 100, 100]);
 
     let commands = Planner::new(LEASE).step(at(1_100), &state, &roster);
 
@@ -233,7 +247,7 @@
 /// Guards against churn without gain.
 #[test]
 fn an_even_load_moves_nothing() {
-    let (state, roster) = loaded(even(25), [100, 100, 100]);
+    let (state, roster) = loaded(&even(25), [100, 100, 100]);
 
     let commands = Planner::new(LEASE).step(at(1_100), &state, &roster);
 
