Test that bad input is refused and changes nothing

Seven cases with real processes: a body over the limit, no rule, a heartbeat and plans that cannot be read or are invalid, and calls that do not exist.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -121,6 +121,54 @@
     }
 }
 
+/// Guards against bad input that is run, changes something or ends a process.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_is_refused_and_changes_nothing() {
+    let mut mesh = Mesh::start(5, 1, 1, 1).await;
+    ready(&mesh).await;
+    let long = vec![b'x'; 1_000_001];
+    let headers = [
+        ("host", "x.example"),
+        ("x-wisteriaglade-request-id", "book-long"),
+    ];
+    let target = &mesh.hosts[1];
+    let (callers, beats) = (target.callers(), target.control());
+    let control = mesh.hosts[0].control();
+    let plan = r#"{"version":9,"services":[],"virtual-hosts":[{"host":"","paths":[]}]}"#;
+    let invalid = plan.replace(
+        "\"paths\":[]",
+        concat!(
+            r#""paths":[{"name":"r","path-prefix":"/a/","kind":"idempotent","#,
+            r#""timeout-s":1,"service":"none"}]"#
+        ),
+    );
+    let beat = "/rpc?call=instances.heartbeat&of=i-9";
+    let put = "/rpc?call=config.put";
+    let base = [("if-match", "2")];
+    let cases = [
+        (callers, "/book/1", &headers[..], long, 413),
+        (callers, "/none/1", &headers, Vec::new(), 404),
+        (beats, beat, &[], b"{".to_vec(), 400),
+        (beats, "/rpc?call=config.put", &[], Vec::new(), 404),
+        (control, put, &base, invalid.into_bytes(), 400),
+        (control, put, &base, plan.as_bytes()[..40].to_vec(), 400),
+        (control, "/rpc?call=none", &[], Vec::new(), 404),
+    ];
+
+    for (address, path, headers, body, expected) in cases {
+        let answer = mesh.client.send(address, "POST", path, headers, body).await;
+        assert_eq!(answer.unwrap().status.as_u16(), expected, "{path}");
+    }
+
+    assert_eq!(mesh.version(RECOVERY).await, 2);
+    assert_eq!(mesh.book.lock().unwrap().runs.get("book-long"), None);
+    for host in &mut mesh.hosts {
+        let process = host.process.as_mut().expect("a running process");
+        assert_eq!(process.ended(), None);
+    }
+    mesh.serves(1, 7, START).await;
+}
+
 /// Kills, pauses, ends and restarts processes at random while requests run.
 /// `SOAK_SEEDS=FROM..TO` plays other seeds.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -246,6 +246,16 @@
 }
 
 impl Host {
+    /// Where callers send their requests.
+    pub fn callers(&self) -> SocketAddr {
+        (self.address, CALLERS).into()
+    }
+
+    /// Where the target or the operators call.
+    pub fn control(&self) -> SocketAddr {
+        (self.address, CONTROL).into()
+    }
+
     /// Starts the process again.
     pub fn start(&mut self) {
         self.process = Some(Process::platform(&self.settings, &self.log));
@@ -431,7 +441,7 @@
 
     fn controls(&self) -> impl Iterator<Item = SocketAddr> {
         let controls = self.hosts.iter().filter(|host| host.is_control);
-        controls.map(|host| (host.address, CONTROL).into())
+        controls.map(Host::control)
     }
 
     /// Sends one request through a host.
@@ -445,7 +455,7 @@
             ("x-wisteriaglade-deadline-ms", "2000"),
             ("x-wisteriaglade-shard-key", key.as_str()),
         ];
-        let address = SocketAddr::from((self.hosts[host].address, CALLERS));
+        let address = self.hosts[host].callers();
         // A body of bookings is longer than what travels with an offer.
         let body = Bytes::from(vec![b'x'; if kind == "read" { 0 } else { 2_000 }]);
         match self
--- a/wisteriaglade-fleet/src/control/operator.rs
+++ b/wisteriaglade-fleet/src/control/operator.rs
@@ -83,8 +83,8 @@
         if !self.handle.board().is_leading() {
             return self.elsewhere(&request);
         }
-        // The state is read before the group confirms the leader, so it is no
-        // older than the request.
+        // A leader that is confirmed after the request arrived has applied
+        // everything that was acknowledged before.
         let confirmed = timeout(PATIENCE, self.handle.confirm()).await;
         if confirmed != Ok(true) {
             return Self::fail(StatusCode::SERVICE_UNAVAILABLE, "leadership not confirmed");
