--- a/wisteriaglade-fleet/src/lib.rs
+++ b/wisteriaglade-fleet/src/lib.rs
@@ -20,6 +20,7 @@
 mod frame;
 mod host;
 mod link;
+mod listener;
 mod log;
 mod metrics;
 mod server;
--- a/wisteriaglade-fleet/src/link.rs
+++ b/wisteriaglade-fleet/src/link.rs
@@ -14,7 +14,7 @@
 use tokio::{
     io::AsyncWriteExt as _,
     net::{
-        TcpListener, TcpSocket, TcpStream,
+        TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::mpsc,
@@ -26,7 +26,10 @@
 };
 use tracing::{debug, info, warn};
 
-use crate::frame::{Frame, HEAD, Hello};
+use crate::{
+    frame::{Frame, HEAD, Hello},
+    listener::accept,
+};
 
 /// The largest frame: a body of the largest size with its head.
 const FRAME_MAX: usize = 80 * 1024 * 1024;
@@ -47,10 +50,6 @@
 /// Bytes that are gathered for one write.
 const GATHER: usize = 64 * 1024;
 
-/// Waiting connections of the listener. All processes connect when the fleet
-/// starts.
-const WAITING: u32 = 1024;
-
 /// What a process does with the frames of its links.
 pub(crate) trait Sink: Clone + Send + Sync + 'static {
     /// Takes a frame.
@@ -160,40 +159,13 @@
     sink: S,
     stop: CancellationToken,
 ) -> std::io::Result<()> {
-    let listener = bind(address)?;
-    tokio::spawn(async move {
-        loop {
-            let accepted = tokio::select! {
-                () = stop.cancelled() => return,
-                accepted = listener.accept() => accepted,
-            };
-            match accepted {
-                Ok((stream, _)) => {
-                    let conversation = converse(stream, hello.clone(), sink.clone());
-                    let stop = stop.clone();
-                    tokio::spawn(async move {
-                        stop.run_until_cancelled_owned(conversation).await;
-                    });
-                }
-                Err(error) => {
-                    warn!(event = "accept-failed", address = %address, error = %error);
-                    sleep(BACKOFF.0).await;
-                }
-            }
+    accept(address, stop.clone(), move |stream, _| {
+        let conversation = converse(stream, hello.clone(), sink.clone());
+        let stop = stop.clone();
+        async move {
+            stop.run_until_cancelled_owned(conversation).await;
         }
-    });
-    Ok(())
-}
-
-/// Listens on an address that a former process may just have left.
-pub(crate) fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(WAITING)
+    })
 }
 
 /// Speaks on a connection until it ends or falls silent.
--- a/wisteriaglade-fleet/src/server.rs
+++ b/wisteriaglade-fleet/src/server.rs
@@ -1,21 +1,17 @@
 //! HTTP listeners.
 
-use std::{convert::Infallible, net::SocketAddr, time::Duration};
+use std::{convert::Infallible, net::SocketAddr};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpStream, time::sleep};
+use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
-use tracing::{debug, warn};
+use tracing::debug;
 
-use crate::link::bind;
-
-/// The pause after a connection could not be accepted, for lack of
-/// descriptors as a rule.
-const PAUSE: Duration = Duration::from_millis(50);
+use crate::listener::accept;
 
 /// Answers the requests of a listener.
 pub(crate) trait Service: Clone + Send + Sync + 'static {
@@ -38,25 +34,9 @@
     service: S,
     stop: CancellationToken,
 ) -> std::io::Result<()> {
-    let listener = bind(address)?;
-    tokio::spawn(async move {
-        loop {
-            let accepted = tokio::select! {
-                () = stop.cancelled() => return,
-                accepted = listener.accept() => accepted,
-            };
-            match accepted {
-                Ok((stream, peer)) => {
-                    tokio::spawn(converse(stream, peer, service.clone(), stop.clone()));
-                }
-                Err(error) => {
-                    warn!(event = "accept-failed", address = %address, error = %error);
-                    sleep(PAUSE).await;
-                }
-            }
-        }
-    });
-    Ok(())
+    accept(address, stop.clone(), move |stream, peer| {
+        converse(stream, peer, service.clone(), stop.clone())
+    })
 }
 
 async fn converse<S: Service>(
