Compare plans in linear time and encode broadcasts once

Cause: Change::between compared each rule with every other one, and the leader did so for each host. Rules are now looked up by host name and prefix, and each message for several hosts is built and encoded once.

Ruled out: lost or unfit changes (no plan-change-unfit line in the logs).

--- a/wisteriaglade-fleet/src/control/leader.rs
+++ b/wisteriaglade-fleet/src/control/leader.rs
@@ -22,7 +22,7 @@
     Settings,
     frame::Frame,
     host::LEASE,
-    link::{Port, Sink},
+    link::{Encoded, Port, Sink},
     lock,
 };
 
@@ -249,29 +249,38 @@
         let replicas: Vec<_> = state.members().values().map(|member| member.link).collect();
         let hosts = u32::try_from(inner.roster.records().count()).unwrap_or(u32::MAX);
         let entries = inner.roster.entries();
+        // Most hosts know the same, so each message is built and encoded once.
+        let mut plans: BTreeMap<u64, Encoded> = BTreeMap::new();
+        let mut directories: BTreeMap<(bool, Option<u64>), Encoded> = BTreeMap::new();
         for subscriber in &mut inner.subscribers {
             if subscriber.version < version {
-                let old = inner.plans.get(&subscriber.version);
-                let change = old.and_then(|old| Change::between(old, state.plan()));
-                subscriber.version = version;
-                subscriber.port.send(match change {
-                    Some(change) => Frame::PlanChange(change),
-                    None => Frame::Plan(state.plan().clone()),
+                let known = std::mem::replace(&mut subscriber.version, version);
+                let message = plans.entry(known).or_insert_with(|| {
+                    let old = inner.plans.get(&known);
+                    let change = old.and_then(|old| Change::between(old, state.plan()));
+                    Encoded::new(&match change {
+                        Some(change) => Frame::PlanChange(change),
+                        None => Frame::Plan(state.plan().clone()),
+                    })
                 });
+                subscriber.port.share(message);
             }
             let new_targets = subscriber.targets.replace(targets) != Some(targets);
             let known = subscriber.keys.replace(index);
             if new_targets || known != Some(index) {
-                subscriber.port.send(Frame::Publish {
-                    replicas: replicas.clone(),
-                    hosts,
-                    directory: Directory {
-                        index,
-                        complete: targets.1,
-                        entries: new_targets.then(|| entries.clone()),
-                        keys: changes(state, known),
-                    },
+                let message = directories.entry((new_targets, known)).or_insert_with(|| {
+                    Encoded::new(&Frame::Publish {
+                        replicas: replicas.clone(),
+                        hosts,
+                        directory: Directory {
+                            index,
+                            complete: targets.1,
+                            entries: new_targets.then(|| entries.clone()),
+                            keys: changes(state, known),
+                        },
+                    })
                 });
+                subscriber.port.share(message);
             }
         }
     }
--- a/wisteriaglade-fleet/src/link.rs
+++ b/wisteriaglade-fleet/src/link.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use tokio::{
     io::AsyncWriteExt as _,
@@ -67,7 +67,26 @@
 pub(crate) struct Port {
     /// Who is on the other side.
     pub(crate) hello: Hello,
-    sender: mpsc::UnboundedSender<Frame>,
+    sender: mpsc::UnboundedSender<Parcel>,
+}
+
+/// What waits to be written.
+#[derive(Debug)]
+enum Parcel {
+    Frame(Box<Frame>),
+    Encoded(Encoded),
+}
+
+/// A frame for many connections, encoded once.
+#[derive(Debug, Clone)]
+pub(crate) struct Encoded(Bytes);
+
+impl Encoded {
+    pub(crate) fn new(frame: &Frame) -> Self {
+        let mut buffer = BytesMut::new();
+        push(frame, &mut buffer);
+        Self(buffer.freeze())
+    }
 }
 
 impl Port {
@@ -75,7 +94,13 @@
     pub(crate) fn send(&self, frame: Frame) {
         // The receiver is gone when the connection has ended, which `down`
         // reports.
-        let _ = self.sender.send(frame);
+        let _ = self.sender.send(Parcel::Frame(Box::new(frame)));
+    }
+
+    /// Sends a frame that other connections are sent, too.
+    pub(crate) fn share(&self, frame: &Encoded) {
+        // As for `send`.
+        let _ = self.sender.send(Parcel::Encoded(frame.clone()));
     }
 
     /// Whether this is the same connection.
@@ -257,7 +282,7 @@
 
 async fn write(
     writer: &mut OwnedWriteHalf,
-    mut frames: mpsc::UnboundedReceiver<Frame>,
+    mut frames: mpsc::UnboundedReceiver<Parcel>,
     mut buffer: BytesMut,
     pulse: &Pulse,
 ) -> &'static str {
@@ -279,12 +304,13 @@
         };
         match frame {
             Some(frame) => {
-                let expects = !matches!(frame, Frame::Pong);
-                push(&frame, &mut buffer);
+                let expects =
+                    !matches!(&frame, Parcel::Frame(frame) if matches!(**frame, Frame::Pong));
+                frame.write(&mut buffer);
                 while buffer.len() < GATHER
                     && let Ok(frame) = frames.try_recv()
                 {
-                    push(&frame, &mut buffer);
+                    frame.write(&mut buffer);
                 }
                 if expects {
                     owed.get_or_insert_with(Instant::now);
@@ -305,6 +331,15 @@
     }
 }
 
+impl Parcel {
+    fn write(&self, buffer: &mut BytesMut) {
+        match self {
+            Self::Frame(frame) => push(frame, buffer),
+            Self::Encoded(Encoded(bytes)) => buffer.extend_from_slice(bytes),
+        }
+    }
+}
+
 fn push(frame: &Frame, buffer: &mut BytesMut) {
     if let Err(error) = frame.encode(buffer) {
         warn!(event = "frame-unencodable", error = %error);
--- a/wisteriaglade-mesh/src/change.rs
+++ b/wisteriaglade-mesh/src/change.rs
@@ -1,5 +1,7 @@
 //! The difference between two plans.
 
+use std::collections::{HashMap, HashSet};
+
 use serde::{Deserialize, Serialize};
 use wisteriaglade_types::Name;
 
@@ -30,13 +32,10 @@
     /// matters, and a change does not carry it.
     #[must_use]
     pub fn between(old: &Plan, new: &Plan) -> Option<Self> {
-        if has_twins(old) || has_twins(new) {
-            return None;
-        }
-        let is_same = |a: &Rule, b: &Rule| a.host == b.host && a.prefix == b.prefix;
-        let gone = |rule: &&Rule| !new.rules.iter().any(|other| is_same(rule, other));
+        let (before, after) = (by_address(old)?, by_address(new)?);
+        let gone = |rule: &&Rule| !after.contains_key(&address(rule));
         let removed = old.rules.iter().filter(gone);
-        let fresh = |rule: &&Rule| !old.rules.contains(rule);
+        let fresh = |rule: &&Rule| before.get(&address(rule)) != Some(rule);
         Some(Self {
             from: old.version,
             version: new.version,
@@ -55,18 +54,13 @@
         if old.version != self.from {
             return None;
         }
-        let mut rules = old.rules.clone();
-        rules.retain(|rule| {
-            let is_removed = self
-                .removed
-                .iter()
-                .any(|(host, prefix)| *host == rule.host && *prefix == rule.prefix);
-            let is_replaced = self
-                .put
-                .iter()
-                .any(|new| new.host == rule.host && new.prefix == rule.prefix);
-            !is_removed && !is_replaced
-        });
+        let removed = self.removed.iter().map(|(host, prefix)| (host, prefix));
+        let ended: HashSet<Address> = removed.chain(self.put.iter().map(address)).collect();
+        let kept = old
+            .rules
+            .iter()
+            .filter(|rule| !ended.contains(&address(rule)));
+        let mut rules: Vec<Rule> = kept.cloned().collect();
         rules.extend(self.put.iter().cloned());
         Some(Plan {
             version: self.version,
@@ -77,10 +71,16 @@
     }
 }
 
-/// Whether two rules are for the same requests.
-fn has_twins(plan: &Plan) -> bool {
-    let mut seen = std::collections::HashSet::new();
-    plan.rules
-        .iter()
-        .any(|rule| !seen.insert((&rule.host, &rule.prefix)))
+/// What the requests of a rule have in common: host name and prefix.
+type Address<'a> = (&'a Name, &'a Name);
+
+fn address(rule: &Rule) -> Address<'_> {
+    (&rule.host, &rule.prefix)
+}
+
+/// The rules of a plan, or `None` if two are for the same requests.
+fn by_address(plan: &Plan) -> Option<HashMap<Address<'_>, &Rule>> {
+    let rules = plan.rules.iter();
+    let map: HashMap<_, _> = rules.map(|rule| (address(rule), rule)).collect();
+    (map.len() == plan.rules.len()).then_some(map)
 }
--- a/wisteriaglade-mesh/tests/change.rs
+++ b/wisteriaglade-mesh/tests/change.rs
@@ -1,6 +1,6 @@
 //! The difference between two plans.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rstest::rstest;
 use wisteriaglade_mesh::{Change, Part, Plan, Pool, Rule, Table};
@@ -79,3 +79,23 @@
 
     assert_eq!(Change::between(&plan(3, &[]), &twins), None);
 }
+
+/// Guards against a comparison of each rule with every other one, which stops
+/// a leader for seconds when a plan has thousands of rules.
+#[test]
+fn a_large_plan_is_compared_in_linear_time() {
+    let large = |version, pool| {
+        let names: Vec<String> = (0..40_000).map(|number| format!("/{number}/")).collect();
+        let rules: Vec<_> = names.iter().map(|name| (name.as_str(), pool)).collect();
+        plan(version, &rules)
+    };
+    let (old, new) = (large(3, "a"), large(8, "b"));
+
+    let start = Instant::now();
+    let change = Change::between(&old, &new).expect("a change");
+    let result = change.apply(&old).expect("the plan that it builds on");
+
+    // Each rule with every other one takes more than ten times as long.
+    assert!(start.elapsed() < Duration::from_secs(1));
+    assert_eq!(result.rules, new.rules);
+}
