Pass on a range whose hold has ended by itself

Cause: a target's hold ran out while the control group had no leader, and the next leader moved a range of that target. The host now notes such a range as released when neither the target's heartbeat nor the answer before names it.

Ruled out: lost or unfit directories (the range was known as leaving), a directory of an earlier leader.

The soak now harms connections between hosts and targets as well: late bytes, resets, silent or half-open connections, answers that never come.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,7 +6,7 @@
 
 use http::StatusCode;
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
-use support::mesh::Mesh;
+use support::mesh::{Harm, Mesh};
 
 /// The time in which the platform expects service after a loss.
 const RECOVERY: Duration = Duration::from_secs(15);
@@ -169,7 +169,8 @@
     mesh.serves(1, 7, START).await;
 }
 
-/// Kills, pauses, ends and restarts processes at random while requests run.
+/// Kills, pauses, ends and restarts processes at random while requests run, and
+/// harms connections to targets at the same time.
 /// `SOAK_SEEDS=FROM..TO` plays other seeds.
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_random_faults() {
@@ -194,6 +195,12 @@
         let victim = random.random_range(0..mesh.hosts.len());
         let fault = random.random_range(0..4);
         println!("fault {fault} on host {victim}");
+        let harmed = random.random_range(5..mesh.hosts.len());
+        let harm = Harm::ALL[random.random_range(0..Harm::ALL.len())];
+        if random.random_bool(0.6) {
+            println!("{harm:?} between host {harmed} and its target");
+            mesh.harm(harmed, harm);
+        }
         match fault {
             0 => mesh.hosts[victim].kill(),
             1 => mesh.hosts[victim].process.as_ref().unwrap().pause(),
@@ -216,6 +223,7 @@
                 );
             }
         }
+        mesh.harm(harmed, Harm::None);
         let host = &mut mesh.hosts[victim];
         match fault {
             1 => host.process.as_ref().unwrap().resume(),
--- a/tests/support/mesh.rs
+++ b/tests/support/mesh.rs
@@ -21,13 +21,16 @@
 use super::{
     client::Client,
     process::{Process, show},
+    proxy::{End, Net, Rule},
     within,
 };
 
 const CONTROL: u16 = 8620;
 const CALLERS: u16 = 8629;
 const READY: u16 = 8625;
+/// Where a host reaches its server, through a relay, and where that listens.
 const SERVER: u16 = 8628;
+const BEHIND: u16 = 8638;
 const LINK: u16 = 7600;
 
 /// The interval of heartbeats.
@@ -292,6 +295,32 @@
     }
 }
 
+/// What happens to the connections between a host and its target.
+#[derive(Debug, Clone, Copy)]
+pub enum Harm {
+    None,
+    /// Bytes are late.
+    Delay,
+    /// Connections are reset, new ones too.
+    Reset,
+    /// Requests pass, answers do not.
+    Answers,
+    /// Connections that exist fall silent; new ones work.
+    Silence,
+    /// The host's ends are reset; the target is told nothing.
+    Half,
+}
+
+impl Harm {
+    pub const ALL: [Self; 5] = [
+        Self::Delay,
+        Self::Reset,
+        Self::Answers,
+        Self::Silence,
+        Self::Half,
+    ];
+}
+
 /// A fleet with `controls` control replicas and hosts with servers of a pool
 /// that is divided by key (`keyed`) and of one that is not (`plain`).
 #[derive(Debug)]
@@ -299,6 +328,7 @@
     pub hosts: Vec<Host>,
     pub book: Arc<Mutex<Book>>,
     pub client: Client,
+    net: Arc<Net>,
     version: u64,
     _folder: TempDir,
 }
@@ -312,6 +342,7 @@
         let seeds: Vec<String> = (1..=controls.min(3))
             .map(|host| format!("127.9.{net}.{host}:{CONTROL}"))
             .collect();
+        let relays = Net::new(net.into());
         let mut hosts = Vec::new();
         for number in 1..=controls + keyed + plain {
             let address = Ipv4Addr::new(127, 9, net, number);
@@ -354,6 +385,10 @@
             host.start();
             if !is_control {
                 host.server = Some(serve(address, service, Arc::clone(&book)).await);
+                let end = hosts.len();
+                let listener = TcpListener::bind((address, SERVER)).await.unwrap();
+                let behind = (address, BEHIND).into();
+                relays.tcp(listener, behind, End::Target(end), move |_| End::Host(end));
             }
             hosts.push(host);
         }
@@ -361,6 +396,7 @@
             hosts,
             book,
             client: Client::new(),
+            net: relays,
             version: 0,
             _folder: folder,
         };
@@ -371,6 +407,37 @@
         mesh
     }
 
+    /// Harms the connections between a host and its target.
+    pub fn harm(&self, host: usize, harm: Harm) {
+        let (near, far) = (End::Host(host), End::Target(host));
+        let rule = |rule: Rule| {
+            self.net.set(near, far, rule);
+            self.net.set(far, near, rule);
+        };
+        match harm {
+            Harm::None => rule(Rule::default()),
+            Harm::Delay => rule(Rule {
+                delay: Duration::from_millis(20),
+                jitter: Duration::from_millis(80),
+                ..Rule::default()
+            }),
+            Harm::Reset => rule(Rule {
+                cut: true,
+                ..Rule::default()
+            }),
+            Harm::Answers => self.net.set(
+                far,
+                near,
+                Rule {
+                    silent: true,
+                    ..Rule::default()
+                },
+            ),
+            Harm::Silence => self.net.lose(near, far),
+            Harm::Half => self.net.half_open(near, far),
+        }
+    }
+
     /// Puts a new plan in force and returns its version.
     pub async fn configure(&mut self) -> u64 {
         let base = self.version;
@@ -518,7 +585,7 @@
         released: Mutex::default(),
         seq: Mutex::new(0),
     });
-    let listener = TcpListener::bind(server.address).await.unwrap();
+    let listener = TcpListener::bind((address, BEHIND)).await.unwrap();
     tokio::spawn(async move {
         let beats = async {
             let client = Client::new();
--- a/wisteriaglade-mesh/src/guard.rs
+++ b/wisteriaglade-mesh/src/guard.rs
@@ -113,10 +113,11 @@
                 ..Self::default()
             };
         }
-        self.held = holds.to_vec();
+        let before = std::mem::replace(&mut self.held, holds.to_vec());
         for (span, handover) in released {
             self.release(*span, handover);
         }
+        self.lapse(&before);
         let hold = self.lease_end.saturating_sub(now).min(limit);
         if hold < HOLD_MIN {
             return None;
@@ -160,6 +161,22 @@
         }
     }
 
+    /// Notes as released what is to be passed on and has ended by itself: a
+    /// hold that runs out is not announced. Neither the target nor the answer
+    /// before, which the target may have read late, names the range any more.
+    fn lapse(&mut self, before: &[(Span, u64)]) {
+        let is_named = |span: Span, fence: u64, rows: &[(Span, u64)]| {
+            let mut rows = rows.iter();
+            rows.any(|(other, token)| *token == fence && other.overlap(span).is_some())
+        };
+        for (span, fence) in self.leaving.clone() {
+            let is_held = is_named(span, fence, before) || is_named(span, fence, &self.held);
+            if !is_held && !self.is_released(span, fence) {
+                self.released.push((span, fence, Name::from("")));
+            }
+        }
+    }
+
     fn is_released(&self, span: Span, fence: u64) -> bool {
         self.released
             .iter()
--- a/wisteriaglade-mesh/tests/guard.rs
+++ b/wisteriaglade-mesh/tests/guard.rs
@@ -135,3 +135,69 @@
     assert!(!before);
     assert!(guard.holds(7));
 }
+
+/// Guards against keys without a holder for good: the target's hold ended while
+/// the range was to be passed on, so the target has nothing to release.
+#[test]
+fn a_range_whose_hold_has_ended_is_passed_on() {
+    let owner = owner("i-1", 1);
+    let mut state = granted(&owner);
+    let mut guard = guard(&owner, state.keyspaces());
+    let held = [(Span::ALL, 5)];
+    guard.beat(at(1_100), &owner, &[], &[], LIMIT);
+    guard.beat(at(1_800), &owner, &held, &[], LIMIT);
+    let moves = vec![(Span::new(0, 99), self::owner("i-2", 1))];
+    state.apply(
+        6,
+        Command::Shift {
+            pool: pool(),
+            moves,
+        },
+    );
+
+    guard.update(6, state.keyspaces());
+    guard.lease(at(5_000), LEASE);
+    guard.beat(at(5_100), &owner, &[], &[], LIMIT);
+    let early = guard.released().to_vec();
+    guard.beat(
+        at(5_800),
+        &owner,
+        &[(Span::new(100, u16::MAX), 5)],
+        &[],
+        LIMIT,
+    );
+
+    // The answer before the first of the two could still have been under way.
+    assert_eq!(early, []);
+    assert_eq!(guard.released(), [(Span::new(0, 99), 5, Name::from(""))]);
+}
+
+/// Guards against a second holder while the target works on keys that it was
+/// asked to pass on.
+#[test]
+fn a_range_that_the_target_still_holds_is_not_passed_on() {
+    let owner = owner("i-1", 1);
+    let mut state = granted(&owner);
+    let mut guard = guard(&owner, state.keyspaces());
+    let moves = vec![(Span::new(0, 99), self::owner("i-2", 1))];
+    state.apply(
+        6,
+        Command::Shift {
+            pool: pool(),
+            moves,
+        },
+    );
+
+    guard.update(6, state.keyspaces());
+    for beat in 1..4 {
+        guard.beat(
+            at(1_000 + beat * 300),
+            &owner,
+            &[(Span::new(0, 99), 5)],
+            &[],
+            LIMIT,
+        );
+    }
+
+    assert_eq!(guard.released(), []);
+}
