Keep content that arrives before its work asks for it

Cause, found by reading: content that was asked for ahead and arrived between the start of its work and the work's first look was dropped; the work then held a slot for 600 ms and ended without running.

--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -456,8 +456,8 @@
             drop(fetch.send(content));
         } else if let Some(id) = inner.ids.get(&key).copied()
             && let Some(job) = inner.jobs.get_mut(&id)
-            && job.work.is_none()
         {
+            // Its work may have been started and not have asked for it yet.
             job.content = Some(content);
         }
     }
--- a/wisteriaglade-fleet/src/host/peers.rs
+++ b/wisteriaglade-fleet/src/host/peers.rs
@@ -20,7 +20,7 @@
 
 use super::{
     Host,
-    admission::{Key, Reply, millis},
+    admission::{Key, RESTART, Reply, millis},
 };
 use crate::{
     Dialect,
@@ -250,7 +250,7 @@
         } else {
             Outcome::Rejected {
                 reason: Reason::Unreachable,
-                retry: 0,
+                retry: millis(RESTART),
                 arrived: false,
                 load: Load::default(),
             }
