--- a/wisteriaglade-fleet/src/host.rs
+++ b/wisteriaglade-fleet/src/host.rs
@@ -57,7 +57,7 @@
 /// How long a process that was asked to end still offers its target to other
 /// hosts. The news takes about 0.2 s, and what comes until then has the rest of
 /// the grace.
-const OFFERS: Duration = Duration::from_millis(1_900);
+const WITHDRAW: Duration = Duration::from_millis(1_900);
 
 /// How long a process that was asked to end still takes requests. What is
 /// taken later may not be done when the process is killed.
@@ -223,7 +223,7 @@
             sleep(LOOK).await;
             self.look::<D>();
             let now = self.clock.now();
-            if now > from + OFFERS && !self.withdrawn.swap(true, Ordering::Relaxed) {
+            if now > from + WITHDRAW && !self.withdrawn.swap(true, Ordering::Relaxed) {
                 self.nudge.notify_one();
             }
             if now > from + TAKES && !self.closed.swap(true, Ordering::Relaxed) {
--- a/wisteriaglade-mesh/src/planner.rs
+++ b/wisteriaglade-mesh/src/planner.rs
@@ -25,8 +25,9 @@
 const SLACK: Duration = Duration::from_millis(300);
 
 /// Ranges of one target at most, as far as moves for balance go. A heartbeat's
-/// answer holds at most 4 KiB, and a range takes up to 45 bytes of it.
-const RANGES: usize = 64;
+/// answer holds at most 4 KiB, a range takes 20 to 45 bytes of it, and targets
+/// that leave pass theirs on: with half of a pool gone, twice as many fit.
+const RANGES: usize = 48;
 
 /// Moves that one pass starts, so that a large change does not halt all keys
 /// at once.
--- a/wisteriaglade-mesh/tests/planner.rs
+++ b/wisteriaglade-mesh/tests/planner.rs
@@ -273,9 +273,9 @@
 /// move of a part leaves more ranges.
 #[test]
 fn a_target_with_many_ranges_keeps_them_whole() {
-    let heat: Vec<_> = (0..21_000)
-        .step_by(100)
-        .map(|key| (part(key, 1), 4))
+    let heat: Vec<_> = (0..20_000)
+        .step_by(250)
+        .map(|key| (part(key, 1), 40))
         .collect();
     let (mut state, roster) = loaded(&heat, [100, 100, 100]);
     let mut index = 10;
@@ -311,7 +311,7 @@
     for name in ["i-1", "i-2", "i-3"] {
         let ranges = keyspace.ranges().iter();
         let count = ranges.filter(|range| range.owner == Some(owner(name)));
-        assert!(count.count() <= 66);
+        assert!(count.count() <= 50);
     }
 }
 
