--- a/wisteriaglade-fleet/src/control/replica.rs
+++ b/wisteriaglade-fleet/src/control/replica.rs
@@ -50,6 +50,12 @@
 /// The file with the number of this replica.
 const IDENTITY: &str = "replica";
 
+/// How long a round of confirmations may take before it counts as failed.
+const CONFIRM: Duration = Duration::from_millis(800);
+
+/// The pause before a disk that refused a write is tried again.
+const REST: Duration = Duration::from_millis(400);
+
 /// What the thread is told.
 #[derive(Debug)]
 pub(super) enum Input {
@@ -155,9 +161,6 @@
     since: Duration,
 }
 
-/// How long a round may take before it counts as failed.
-const CONFIRM: Duration = Duration::from_millis(800);
-
 struct Worker {
     id: u64,
     clock: Clock,
@@ -606,9 +609,6 @@
     }
 }
 
-/// The pause before a disk that refused a write is tried again.
-const REST: Duration = Duration::from_millis(400);
-
 fn answer(waiting: Vec<oneshot::Sender<bool>>, leads: bool) {
     for reply in waiting {
         // Who asked may have given up.
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -140,10 +140,6 @@
     pub(super) fn mean(&self) -> u32 {
         lock(&self.inner).queue.measured().map_or(0, millis)
     }
-
-    fn load(&self) -> Load {
-        lock(&self.inner).queue.load()
-    }
 }
 
 impl Job {
@@ -470,7 +466,10 @@
         took: Duration,
         waited: Duration,
     ) -> (Finish, Outcome) {
-        let load = self.admission.load();
+        let (load, nested) = {
+            let queue = &lock(&self.admission.inner).queue;
+            (queue.load(), queue.is_nested(offer.kind))
+        };
         let unknown = |detail: String| Outcome::Unknown {
             detail: Name::from(detail),
             load,
@@ -524,7 +523,7 @@
             body,
             took: millis(took),
             waited: millis(waited),
-            nested: lock(&self.admission.inner).queue.is_nested(offer.kind),
+            nested,
             load,
         };
         (Finish::Done, Outcome::Answer(answer))
--- a/wisteriaglade-fleet/src/host/exchange.rs
+++ b/wisteriaglade-fleet/src/host/exchange.rs
@@ -68,17 +68,12 @@
     /// When the caller leaves.
     pub(super) leaves: Duration,
     pub(super) rule: Arc<Rule>,
+    /// The kind of work.
+    pub(super) kind: u64,
     pub(super) key: Option<u16>,
     pub(super) content: Content,
 }
 
-impl Exchange {
-    /// The kind of work.
-    fn kind(&self) -> u64 {
-        xxhash_rust::xxh3::xxh3_64(self.rule.name.as_bytes())
-    }
-}
-
 /// How a request of a caller ends.
 #[derive(Debug)]
 pub(super) enum Verdict {
@@ -164,7 +159,7 @@
     pub(super) async fn exchange<D: Dialect>(self: &Arc<Self>, exchange: &Exchange) -> Ending {
         let pool = part(&exchange.rule);
         // Only the requests of callers count for the budget.
-        if !lock(&self.choice).is_nested(exchange.kind()) {
+        if !lock(&self.choice).is_nested(exchange.kind) {
             lock(&self.allowance).earn(&pool);
         }
         let left = exchange.deadline.saturating_sub(self.clock.now());
@@ -192,7 +187,8 @@
             if exchange.deadline.saturating_sub(now) < WORTH || tried.offers >= OFFERS {
                 return tried.end(exchange, now);
             }
-            let entry = match exchange.key.filter(|_| read(&self.view).is_sharded(pool)) {
+            let key = exchange.key.filter(|_| read(&self.view).is_sharded(pool));
+            let entry = match key {
                 Some(key) => self.holder(exchange, pool, key, tried).await,
                 None => self.choose(exchange, pool, tried),
             };
@@ -200,7 +196,7 @@
                 return tried.end(exchange, self.clock.now());
             };
             tried.offers += 1;
-            let offer = self.offer_of(exchange, &entry, waits);
+            let offer = self.offer_of(exchange, &entry, key, waits);
             let target = entry.owner.target.clone();
             tried.last = Some(target.clone());
             let guard = Sent::new(self, &target);
@@ -272,23 +268,21 @@
         let best = entries.get(*ranked.first()?)?;
         let waits = entries.len() == 1
             || tried.offers >= PROBES
-            || choice.is_nested(exchange.kind())
+            || choice.is_nested(exchange.kind)
             || choice.is_full(now, &best.owner.target);
         Some(((*best).clone(), waits))
     }
 
-    fn offer_of(&self, exchange: &Exchange, entry: &Entry, waits: bool) -> Offer {
+    fn offer_of(&self, exchange: &Exchange, entry: &Entry, key: Option<u16>, waits: bool) -> Offer {
         let now = self.clock.now();
         let left = |at: Duration| millis(at.saturating_sub(now));
         let rule = &exchange.rule;
         Offer {
             id: self.peers.number(),
             owner: entry.owner.clone(),
-            key: exchange
-                .key
-                .filter(|_| read(&self.view).is_sharded(&entry.pool)),
+            key,
             request: exchange.id.clone(),
-            kind: exchange.kind(),
+            kind: exchange.kind,
             priority: rule.priority,
             caller: self.beside.pool.clone(),
             repeatable: rule.repeatable,
@@ -339,7 +333,7 @@
         match outcome {
             Outcome::Answer(answer) => {
                 tried.sent += 1;
-                lock(&self.choice).learn(exchange.kind(), answer.nested);
+                lock(&self.choice).learn(exchange.kind, answer.nested);
                 let is_error = answer.status >= SERVER_ERROR;
                 if !is_error || exchange.key.is_some() || !self.may_repeat(exchange, pool, tried) {
                     return Next::End(Verdict::Answer(answer));
--- a/wisteriaglade-fleet/src/host/ingress.rs
+++ b/wisteriaglade-fleet/src/host/ingress.rs
@@ -118,6 +118,7 @@
             received,
             deadline: received + patience.min(rule.timeout),
             leaves: received + patience,
+            kind: xxhash_rust::xxh3::xxh3_64(rule.name.as_bytes()),
             rule,
             key,
             content: Content {
--- a/wisteriaglade-fleet/src/lib.rs
+++ b/wisteriaglade-fleet/src/lib.rs
@@ -26,9 +26,8 @@
 mod server;
 pub mod settings;
 
-use std::sync::{Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
-
 use tokio_util::sync::CancellationToken;
+use wisteriaglade_wire::{lock, read, write};
 
 pub use crate::{dialect::Dialect, log::start as start_log, settings::Settings};
 
@@ -45,19 +44,3 @@
         control::run::<D>(settings, stop).await
     }
 }
-
-/// Locks a mutex. A task that panicked while it held the lock has broken an
-/// invariant of its own, which does not concern the others.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Locks for reading; see [`lock`].
-fn read<T>(lock: &RwLock<T>) -> RwLockReadGuard<'_, T> {
-    lock.read().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Locks for writing; see [`lock`].
-fn write<T>(lock: &RwLock<T>) -> RwLockWriteGuard<'_, T> {
-    lock.write().unwrap_or_else(PoisonError::into_inner)
-}
--- a/wisteriaglade-mesh/src/planner.rs
+++ b/wisteriaglade-mesh/src/planner.rs
@@ -51,6 +51,13 @@
 /// new load have to arrive in between.
 const REBALANCE: Duration = Duration::from_millis(1500);
 
+/// A newcomer has less than this part of its fair share of the keys.
+const NEWCOMER: f64 = 0.25;
+
+/// The part of the wanted rate below which a move is not worth the time in
+/// which its keys have no holder.
+const SMALLEST: f64 = 0.03;
+
 /// A target that may take keys.
 struct Taker {
     owner: Owner,
@@ -455,10 +462,3 @@
 fn rate(count: u32) -> f64 {
     f64::from(count) / 10.0
 }
-
-/// A newcomer has less than this part of its fair share of the keys.
-const NEWCOMER: f64 = 0.25;
-
-/// The part of the wanted rate below which a move is not worth the time in
-/// which its keys have no holder.
-const SMALLEST: f64 = 0.03;
--- a/wisteriaglade-mesh/tests/guard.rs
+++ b/wisteriaglade-mesh/tests/guard.rs
@@ -38,6 +38,18 @@
     state
 }
 
+/// The keys 0 to 99 are to be passed on to another target, by log entry 6.
+fn shift(state: &mut State) {
+    let moves = vec![(Span::new(0, 99), owner("i-2", 1))];
+    state.apply(
+        6,
+        Command::Shift {
+            pool: pool(),
+            moves,
+        },
+    );
+}
+
 /// A guard that knows its target and the key ranges, with a lease from 1 s.
 fn guard(owner: &Owner, keyspaces: &BTreeMap<Name, Keyspace>) -> Guard {
     let mut guard = Guard::default();
@@ -85,14 +97,7 @@
     let mut state = granted(&owner);
     let before = state.keyspaces().clone();
     let mut guard = guard(&owner, &before);
-    let moves = vec![(Span::new(0, 99), self::owner("i-2", 1))];
-    state.apply(
-        6,
-        Command::Shift {
-            pool: pool(),
-            moves,
-        },
-    );
+    shift(&mut state);
     guard.update(6, state.keyspaces());
 
     let released = [(Span::new(0, 99), Name::from("token"))];
@@ -146,14 +151,7 @@
     let held = [(Span::ALL, 5)];
     guard.beat(at(1_100), &owner, &[], &[], LIMIT);
     guard.beat(at(1_800), &owner, &held, &[], LIMIT);
-    let moves = vec![(Span::new(0, 99), self::owner("i-2", 1))];
-    state.apply(
-        6,
-        Command::Shift {
-            pool: pool(),
-            moves,
-        },
-    );
+    shift(&mut state);
 
     guard.update(6, state.keyspaces());
     guard.lease(at(5_000), LEASE);
@@ -179,14 +177,7 @@
     let owner = owner("i-1", 1);
     let mut state = granted(&owner);
     let mut guard = guard(&owner, state.keyspaces());
-    let moves = vec![(Span::new(0, 99), self::owner("i-2", 1))];
-    state.apply(
-        6,
-        Command::Shift {
-            pool: pool(),
-            moves,
-        },
-    );
+    shift(&mut state);
 
     guard.update(6, state.keyspaces());
     for beat in 1..4 {
--- a/wisteriaglade-node/src/lib.rs
+++ b/wisteriaglade-node/src/lib.rs
@@ -65,25 +65,9 @@
 mod view;
 mod work;
 
-use std::sync::{Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+use wisteriaglade_wire::{lock, read, write};
 
 pub use crate::{
     daemon::{Daemon, Error, Result},
     settings::Settings,
 };
-
-/// Locks a mutex. A task that panicked while it held the lock has broken an
-/// invariant of its own, which does not concern the others.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Locks for reading; see [`lock`].
-fn read<T>(lock: &RwLock<T>) -> RwLockReadGuard<'_, T> {
-    lock.read().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Locks for writing; see [`lock`].
-fn write<T>(lock: &RwLock<T>) -> RwLockWriteGuard<'_, T> {
-    lock.write().unwrap_or_else(PoisonError::into_inner)
-}
--- a/wisteriaglade-wire/src/lib.rs
+++ b/wisteriaglade-wire/src/lib.rs
@@ -35,6 +35,7 @@
 mod frame;
 mod key;
 mod link;
+mod lock;
 
 pub use crate::{
     clock::Clock,
@@ -43,6 +44,7 @@
     frame::Frame,
     key::Key,
     link::{Link, Reader, Writer},
+    lock::{lock, read, write},
 };
 
 /// The version of the protocol between processes.
