Connect to the replicas that the log names before a leader is known

The others stand in log entries, which are applied only under a leader. With two of three seeds without their disks and the third behind the others, the replicas that are no seeds did not reach each other: three of five with all data, and no leader for good. The addresses in entries that were read back count at once now, until they are applied.

Ruled out: storage that refuses to open (the process would have ended), a lock held twice on the board (no thread reads it while it reads it).

Test: replicas_that_are_no_seeds_find_each_other, three of three runs failed before (503, no leader, for 15 s), three of three pass.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -77,6 +77,31 @@
     mesh.check();
 }
 
+/// Guards against replicas that never find each other: two of the three seeds
+/// lost their disks, the third lags and cannot lead, and the other two replicas
+/// are named in no settings.
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_that_are_no_seeds_find_each_other() {
+    let mut mesh = Mesh::start(7, 5, 1, 1).await;
+    ready(&mesh).await;
+    mesh.hosts[0].kill();
+    let accepted = mesh.configure().await;
+
+    for host in &mut mesh.hosts[1..5] {
+        host.kill();
+    }
+    for host in &mut mesh.hosts[..5] {
+        if matches!(host.address.octets()[3], 2 | 3) {
+            host.wipe();
+        }
+        host.start();
+    }
+
+    assert_eq!(mesh.version(RECOVERY).await, accepted);
+    mesh.serves(5, 7, RECOVERY).await;
+    mesh.check();
+}
+
 /// Guards against a request that is cut by a planned end of the process that
 /// took it, and against keys that stay away after its restart.
 #[tokio::test(flavor = "multi_thread")]
--- a/wisteriaglade-fleet/src/control/board.rs
+++ b/wisteriaglade-fleet/src/control/board.rs
@@ -1,6 +1,6 @@
 //! What the replica's thread shows to the others.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use wisteriaglade_mesh::State;
 
@@ -14,6 +14,9 @@
     /// Whether it leads and has applied everything from before its term.
     pub(super) leading: bool,
     pub(super) members: Vec<u64>,
+    /// Where replicas took links according to entries that were read back and
+    /// are not applied yet.
+    pub(super) restored: BTreeSet<SocketAddr>,
     /// The last applied entry that was announced.
     pub(super) announced: u64,
 }
@@ -44,6 +47,16 @@
         &self.members
     }
 
+    /// Where replicas may take links.
+    ///
+    /// Entries are applied only under a leader, and to elect one the replicas
+    /// have to reach each other, so those that are not applied count as well.
+    pub(crate) fn links(&self) -> BTreeSet<SocketAddr> {
+        let members = self.state.members().values();
+        let known = members.map(|member| member.link);
+        known.chain(self.restored.iter().copied()).collect()
+    }
+
     /// Where the leader takes links, if it is known.
     pub(crate) fn leader_link(&self) -> Option<SocketAddr> {
         let leader = self.state.members().get(&self.leader?)?;
--- a/wisteriaglade-fleet/src/control/leader.rs
+++ b/wisteriaglade-fleet/src/control/leader.rs
@@ -1,7 +1,7 @@
 //! What a control replica does for the hosts while it leads.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -146,11 +146,7 @@
 
     /// Keeps links to every known replica.
     fn connect(&self) {
-        let board = self.handle.board();
-        let members = board.state().members();
-        let mut addresses: BTreeSet<SocketAddr> =
-            members.values().map(|member| member.link).collect();
-        drop(board);
+        let mut addresses = self.handle.board().links();
         addresses.extend(self.settings.seeds.iter().copied());
         self.group.connect(self, &addresses);
     }
--- a/wisteriaglade-fleet/src/control/replica.rs
+++ b/wisteriaglade-fleet/src/control/replica.rs
@@ -6,6 +6,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     fs, io,
+    net::SocketAddr,
     path::{Path, PathBuf},
     sync::{
         Arc, RwLock, RwLockReadGuard,
@@ -171,6 +172,8 @@
     waiting: HashMap<u64, oneshot::Sender<Proposed>>,
     replies: BTreeMap<Index, Reply>,
     snapshot: u64,
+    /// The last entry that was read back at the start.
+    restored: u64,
     /// This replica leads once it has applied this entry.
     lead_from: Option<Index>,
     confirmation: Confirmation,
@@ -259,6 +262,8 @@
         applied,
         entries = restored.entries.len()
     );
+    let links = links(&restored.entries);
+    let last = restored.entries.last().map_or(0, |entry| entry.index.get());
     let members = place.members.iter().copied().map(Replica::new);
     let config = Config::new(Replica::new(place.id), members)
         .heartbeat(HEARTBEAT)
@@ -270,6 +275,7 @@
     *write(&handle.board) = Board {
         state,
         applied,
+        restored: links,
         ..Board::default()
     };
     Ok(Worker {
@@ -282,12 +288,28 @@
         waiting: HashMap::new(),
         replies: BTreeMap::new(),
         snapshot: applied,
+        restored: last,
         lead_from: None,
         confirmation: Confirmation::default(),
         failed: false,
     })
 }
 
+/// Where replicas take links according to entries of the log.
+fn links(entries: &[Entry]) -> BTreeSet<SocketAddr> {
+    let commands = entries.iter().filter_map(|entry| match &entry.payload {
+        // What cannot be read is reported when it is applied.
+        Payload::Data(data) => postcard::from_bytes::<Command>(data).ok(),
+        _ => None,
+    });
+    commands
+        .filter_map(|command| match command {
+            Command::Register { link, .. } => Some(link),
+            _ => None,
+        })
+        .collect()
+}
+
 /// Why a replica's thread has ended its work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Ended {
@@ -592,6 +614,10 @@
         let term = self.raft.term().get();
         let members: Vec<u64> = self.raft.members().iter().map(|r| r.get()).collect();
         let mut board = write(&self.handle.board);
+        if board.applied >= self.restored {
+            // The state has all that they say.
+            board.restored.clear();
+        }
         let changed = board.leading != leading
             || board.leader != leader
             || board.term != term
