Keep one leader at 300 hosts

The leader lost its office every 1 to 2 s. Each of 750 reports a second ran the planner, whose comparisons grew with ranges times targets, while it held the lock that the consensus thread needs to apply entries and to publish its status. Each change of one target sent the list of all targets to all hosts, and each new leader sent them all ranges.

Reports run the planner only when they change something; the planner and the pruning of the roster use indexes by owner; at most one run in 20 ms. Hosts get the targets that have changed since the last directory, and name the index of their ranges, so that a new leader sends only what is newer.

The index also decides on leases: a target gets one only if its host knows of the last revocation of its ranges, by this leader or an earlier one. Before, a host that woke could get a lease ahead of the directory. Only the targets that are being revoked wait for commands in progress, not all.

Ruled out: a longer election timeout, which leaves the cause.

--- a/wisteriaglade-fleet/src/control/leader.rs
+++ b/wisteriaglade-fleet/src/control/leader.rs
@@ -2,7 +2,7 @@
 //! key ranges, publishes the plan and the directory, and changes the group.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -10,8 +10,8 @@
 
 use tracing::{info, warn};
 use wisteriaglade_mesh::{
-    Change, Command, Condition, Directory, Keyspace, KeyspaceUpdate, Owner, Plan, Planner, Report,
-    Roster, State,
+    Change, Command, Condition, Directory, EntryUpdate, Keyspace, KeyspaceUpdate, Owner, Plan,
+    Planner, Report, Roster, State,
 };
 use wisteriaglade_wire::Clock;
 
@@ -39,6 +39,10 @@
 /// The shortest interval between two publications to the hosts.
 const MIN_PUBLISH_INTERVAL: Duration = Duration::from_millis(80);
 
+/// The shortest interval between two runs of the planner, whose time grows with
+/// the fleet.
+const MIN_PLAN_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The number of published plans that are kept. A host that has one of them is
 /// sent only the changes since then.
 const KEPT_PLANS: usize = 16;
@@ -78,6 +82,10 @@
     disconnected: BTreeMap<u64, Duration>,
     /// When this replica last sent [`Frame::Join`].
     join_sent: Duration,
+    /// The targets whose ranges are being taken back by commands without a result.
+    revoking: BTreeSet<Owner>,
+    /// When the planner last ran.
+    planned_at: Duration,
     /// When the leader last published to the hosts.
     published_at: Duration,
     /// The last published plans by version.
@@ -107,6 +115,8 @@
             planner: planner(&settings),
             subscribers: Vec::new(),
             proposing: false,
+            revoking: BTreeSet::new(),
+            planned_at: Duration::ZERO,
             reconfiguring: false,
             disconnected: BTreeMap::new(),
             join_sent: Duration::ZERO,
@@ -138,14 +148,16 @@
         self.connect();
         let status = self.handle.status();
         let leading = status.is_leading().then(|| status.term());
+        let keyspaces_index = status.state().keyspaces_index();
         drop(status);
         let mut inner = lock(&self.inner);
         if inner.term != leading {
             inner.term = leading;
-            inner.roster = Roster::new(now);
+            inner.roster = Roster::new(now).at_index(keyspaces_index);
             inner.planner = planner(&self.settings);
             inner.subscribers.clear();
             inner.disconnected.clear();
+            inner.revoking.clear();
             info!(
                 event = if leading.is_some() { "lead" } else { "follow" },
                 term = leading.unwrap_or(0)
@@ -182,35 +194,60 @@
     /// the leader.
     fn propose(&self, now: Duration, inner: &mut Inner) {
         self.register(inner);
-        let status = self.handle.status();
-        let state = status.state();
-        let is_referenced = |owner: &_| {
-            let ranges = state.keyspaces().values().flat_map(Keyspace::ranges);
-            let mut owners = ranges.flat_map(|range| range.owner.iter().chain(&range.next));
-            owners.any(|other| other == owner)
-        };
-        inner.roster.prune(now, is_referenced);
-        if inner.proposing {
+        if inner.proposing || now.saturating_sub(inner.planned_at) < MIN_PLAN_INTERVAL {
             return;
         }
+        inner.planned_at = now;
+        let status = self.handle.status();
+        let state = status.state();
+        let ranges = state.keyspaces().values().flat_map(Keyspace::ranges);
+        let referenced: BTreeSet<&Owner> = ranges
+            .flat_map(|range| range.owner.iter().chain(&range.next))
+            .collect();
+        inner.roster.prune(now, |owner| referenced.contains(owner));
         let commands = inner.planner.step(now, state, &inner.roster);
         drop(status);
         if commands.is_empty() {
             return;
         }
         inner.proposing = true;
+        let revoked = commands.iter().filter_map(|command| match command {
+            Command::Revoke { owner } => Some(owner.clone()),
+            _ => None,
+        });
+        inner.revoking.extend(revoked);
         let leader = self.clone();
+        let term = inner.term;
         tokio::spawn(async move {
             for command in commands {
                 log_command(&command);
-                if leader.handle.propose(command).await == Proposed::NotLeader {
+                let owner = match &command {
+                    Command::Revoke { owner } => Some(owner.clone()),
+                    _ => None,
+                };
+                let result = leader.handle.propose(command).await;
+                if result == Proposed::NotLeader {
                     break;
                 }
+                if let (Some(owner), Proposed::Applied(_)) = (owner, result) {
+                    leader.finish_revocation(owner, term);
+                }
             }
             lock(&leader.inner).proposing = false;
         });
     }
 
+    /// Lets a revoked target have leases again, once its host knows of the
+    /// revocation.
+    fn finish_revocation(&self, owner: Owner, term: Option<u64>) {
+        let index = self.handle.status().state().keyspaces_index();
+        let mut inner = lock(&self.inner);
+        if inner.term == term {
+            inner.revoking.remove(&owner);
+            inner.roster.record_revocation(owner, index);
+        }
+    }
+
     /// Proposes a command with the addresses of this replica, unless the state has
     /// its link address already.
     fn register(&self, inner: &mut Inner) {
@@ -273,11 +310,10 @@
             .map(|member| member.peer_address)
             .collect();
         let hosts = u32::try_from(inner.roster.reports().count()).unwrap_or(u32::MAX);
-        let entries = inner.roster.entries();
         // Most hosts have the same versions, so each message is built and encoded
         // once.
         let mut plans: BTreeMap<u64, EncodedFrame> = BTreeMap::new();
-        let mut directories: BTreeMap<(bool, Option<u64>), EncodedFrame> = BTreeMap::new();
+        let mut directories: BTreeMap<_, EncodedFrame> = BTreeMap::new();
         for subscriber in &mut inner.subscribers {
             if subscriber.sent_version < version {
                 let known = std::mem::replace(&mut subscriber.sent_version, version);
@@ -291,17 +327,21 @@
                 });
                 subscriber.connection.send_encoded(message);
             }
-            let new_targets = subscriber.sent_targets.replace(targets) != Some(targets);
+            let sent = subscriber.sent_targets.replace(targets);
             let known = subscriber.sent_keys.replace(index);
-            if new_targets || known != Some(index) {
-                let message = directories.entry((new_targets, known)).or_insert_with(|| {
+            if sent != Some(targets) || known != Some(index) {
+                let message = directories.entry((sent, known)).or_insert_with(|| {
                     EncodedFrame::new(&Frame::Publish {
                         replicas: replicas.clone(),
                         hosts,
                         directory: Directory {
                             index,
                             complete: targets.1,
-                            entries: new_targets.then(|| entries.clone()),
+                            entries: match sent {
+                                Some(sent) if sent == targets => EntryUpdate::Unchanged,
+                                Some((revision, _)) => inner.roster.entries_since(revision),
+                                None => EntryUpdate::Full(inner.roster.entries()),
+                            },
                             keyspaces: key_changes(state, known),
                         },
                     })
@@ -312,9 +352,10 @@
     }
 
     /// Handles [`Frame::Renew`], a host's report. `seq` is repeated in the response,
-    /// and `version` is that of the host's plan. The response, which may renew the lease, is sent
-    /// after a majority has confirmed that this replica still leads.
-    fn renew(&self, connection: &Connection, seq: u64, report: Report, version: u64) {
+    /// `version` is that of the host's plan, and `index` that of its key ranges. The
+    /// response, which may renew the lease, is sent after a majority has confirmed
+    /// that this replica still leads.
+    fn renew(&self, connection: &Connection, seq: u64, report: Report, version: u64, index: u64) {
         let now = self.clock.now();
         let mut inner = lock(&self.inner);
         if inner.term.is_none() {
@@ -328,18 +369,27 @@
             matches!(target.condition, Condition::Ready | Condition::Draining)
         });
         let owner = report.target.as_ref().map(|target| target.owner.clone());
+        let revision = inner.roster.revision();
+        let target = report.target.as_ref();
+        let has_released = target.is_some_and(|target| !target.released.is_empty());
         if !inner.roster.report(now, report) {
             return;
         }
+        // Other reports wait for the next periodic step, so that the work of the
+        // leader does not grow with the square of the fleet.
+        let mut is_urgent = has_released || inner.roster.revision() != revision;
         if !inner
             .subscribers
             .iter()
             .any(|other| other.connection.is_same(connection))
         {
+            is_urgent = true;
+            // A host that has key ranges is sent only what has changed since.
+            let known_index = self.handle.status().state().keyspaces_index();
             inner.subscribers.push(Subscriber {
                 connection: connection.clone(),
                 sent_targets: None,
-                sent_keys: None,
+                sent_keys: (1..=known_index).contains(&index).then_some(index),
                 sent_version: version,
                 reported_version: None,
             });
@@ -361,22 +411,32 @@
         drop(inner);
         tokio::spawn(async move {
             if leader.handle.confirm().await {
-                leader.respond(&connection, seq, owner.as_ref(), term);
+                leader.respond(&connection, seq, owner.as_ref(), index, term);
             }
         });
-        self.step();
+        if is_urgent {
+            self.step();
+        }
     }
 
-    /// Responds to a report, and renews the lease of `owner` if there is one. `term`
-    /// is the one in which the report arrived; nothing is sent in another term.
-    fn respond(&self, connection: &Connection, seq: u64, owner: Option<&Owner>, term: Option<u64>) {
+    /// Responds to a report, and renews the lease of `owner` if there is one. `index`
+    /// is that of the host's key ranges, and `term` the one in which the report
+    /// arrived; nothing is sent in another term.
+    fn respond(
+        &self,
+        connection: &Connection,
+        seq: u64,
+        owner: Option<&Owner>,
+        index: u64,
+        term: Option<u64>,
+    ) {
         let mut inner = lock(&self.inner);
-        // The commands in progress may reassign key ranges of this owner, which
-        // must not get a new lease then.
-        let owner = owner.filter(|_| !inner.proposing);
         if inner.term != term {
             return;
         }
+        let owner = owner.filter(|owner| {
+            !inner.revoking.contains(*owner) && inner.roster.may_lease(owner, index)
+        });
         if let Some(owner) = owner {
             inner.roster.record_lease(self.clock.now(), owner);
         }
@@ -522,7 +582,8 @@
                 seq,
                 report,
                 version,
-            } => self.renew(connection, seq, report, version),
+                index,
+            } => self.renew(connection, seq, report, version, index),
             other => {
                 warn!(event = "frame-unexpected", peer = %connection.hello.address, frame = ?std::mem::discriminant(&other));
             }
--- a/wisteriaglade-fleet/src/frame.rs
+++ b/wisteriaglade-fleet/src/frame.rs
@@ -58,6 +58,8 @@
         report: Report,
         /// The version of the plan that the host has; 0 when it has none.
         version: u64,
+        /// The log index that the host's key ranges reflect; 0 when it has none.
+        index: u64,
     },
     /// The leader's response to a [`Frame::Renew`].
     Renewed {
--- a/wisteriaglade-fleet/src/host/uplink.rs
+++ b/wisteriaglade-fleet/src/host/uplink.rs
@@ -113,10 +113,15 @@
             while replica.sent_at.len() > MAX_PENDING_REPORTS {
                 replica.sent_at.pop_first();
             }
+            let (version, index) = {
+                let view = read(&self.host.view);
+                (view.plan_version(), view.directory_index)
+            };
             connection.send(Frame::Renew {
                 seq: replica.seq,
                 report: self.host.report(),
-                version: read(&self.host.view).plan_version(),
+                version,
+                index,
             });
         }
         replica.is_leader
@@ -245,6 +250,11 @@
         host.grants_due.notify_one();
         host.peers.retain(&addresses);
         let now = host.clock.now();
+        if lock(&host.tracker).lease_left(now).is_zero() {
+            // The leader gives no lease to a host that lacks key ranges which this
+            // directory may have brought.
+            host.report_now.notify_one();
+        }
         let index = i64::try_from(directory.index).unwrap_or(i64::MAX);
         host.metrics.directory_index.set(index);
         host.resize_retry_budget(hosts);
@@ -253,7 +263,7 @@
             event = "directory",
             index = directory.index,
             complete = directory.complete,
-            targets = directory.entries.as_ref().map_or(0, Vec::len),
+            targets = read(&host.view).all_targets().count(),
             at_ms = now.as_millis()
         );
     }
--- a/wisteriaglade-fleet/src/host/view.rs
+++ b/wisteriaglade-fleet/src/host/view.rs
@@ -1,13 +1,9 @@
 //! The host's copy of the plan and the directory, as the control leader
 //! published them.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-    sync::Arc,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use wisteriaglade_mesh::{Directory, Entry, Keyspace, Plan, Table};
+use wisteriaglade_mesh::{Directory, Entry, Keyspace, Plan, Table, Targets};
 use wisteriaglade_types::Name;
 
 /// The plan, targets and key ranges that a host routes by.
@@ -23,8 +19,8 @@
     pub(super) host_count: u32,
     /// The entry of the control log that `keyspaces` reflects.
     pub(super) directory_index: u64,
-    /// The targets of each pool.
-    targets_by_pool: HashMap<Name, Vec<Entry>>,
+    /// The running targets.
+    targets: Targets,
     /// The key ranges of each sharded pool.
     pub(super) keyspaces: BTreeMap<Name, Keyspace>,
 }
@@ -32,7 +28,7 @@
 impl View {
     /// Whether requests can be routed.
     pub(super) fn is_ready(&self) -> bool {
-        self.plan.is_some() && !self.targets_by_pool.is_empty()
+        self.plan.is_some() && !self.targets.is_empty()
     }
 
     /// Returns the version of the plan; 0 if there is none.
@@ -53,9 +49,7 @@
 
     /// Updates the targets and key ranges from a directory.
     pub(super) fn apply_directory(&mut self, directory: &Directory) {
-        if let Some(entries) = &directory.entries {
-            self.replace_targets(entries.clone(), directory.complete);
-        }
+        self.targets.apply(&directory.entries, directory.complete);
         // A directory of a replica that lags behind must not undo later changes of
         // the key ranges.
         if directory.index >= self.directory_index {
@@ -64,37 +58,14 @@
         }
     }
 
-    /// Replaces the targets. If `complete` is not set, known targets that are
-    /// missing in `entries` are kept.
-    fn replace_targets(&mut self, mut entries: Vec<Entry>, complete: bool) {
-        if !complete {
-            // The leader is new, and some hosts may not have reported to it yet.
-            for old in self.targets_by_pool.values().flatten() {
-                let is_known = entries
-                    .iter()
-                    .any(|entry| entry.owner == old.owner || entry.address == old.address);
-                if !is_known {
-                    entries.push(old.clone());
-                }
-            }
-        }
-        self.targets_by_pool.clear();
-        for entry in entries {
-            self.targets_by_pool
-                .entry(entry.pool.clone())
-                .or_default()
-                .push(entry);
-        }
-    }
-
     /// Returns the targets of a pool.
     pub(super) fn targets(&self, pool: &Name) -> &[Entry] {
-        self.targets_by_pool.get(pool).map_or(&[], Vec::as_slice)
+        self.targets.of(pool)
     }
 
     /// Returns the targets of all pools.
     pub(super) fn all_targets(&self) -> impl Iterator<Item = &Entry> {
-        self.targets_by_pool.values().flatten()
+        self.targets.all()
     }
 
     /// Returns the target that holds a key; `None` if it has no holder or the
--- a/wisteriaglade-mesh/src/directory.rs
+++ b/wisteriaglade-mesh/src/directory.rs
@@ -19,8 +19,8 @@
     /// Whether every host has had time to report to this leader. Until then a
     /// target that is not listed may still run.
     pub complete: bool,
-    /// All running targets; `None` if they have not changed.
-    pub entries: Option<Vec<Entry>>,
+    /// The running targets.
+    pub entries: EntryUpdate,
     /// The key ranges of the sharded pools.
     pub keyspaces: KeyspaceUpdate,
 }
@@ -42,6 +42,23 @@
     pub ready: bool,
 }
 
+/// An update of a host's copy of the running targets.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EntryUpdate {
+    /// Nothing has changed.
+    #[default]
+    Unchanged,
+    /// All targets. It is the first update on a connection.
+    Full(Vec<Entry>),
+    /// The changes since the last directory on the same connection.
+    Changed {
+        /// New targets and those that have changed.
+        updated: Vec<Entry>,
+        /// The addresses of hosts whose target no longer runs.
+        removed: Vec<SocketAddr>,
+    },
+}
+
 /// An update of a host's copy of the key ranges.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum KeyspaceUpdate {
@@ -50,8 +67,8 @@
     Unchanged,
     /// All ranges of each pool.
     Full(BTreeMap<Name, Keyspace>),
-    /// The ranges of each pool that have changed since the last directory on
-    /// the same connection.
+    /// The ranges of each pool that have changed since the index of the last
+    /// directory, which may come from an earlier leader.
     Changed(BTreeMap<Name, Vec<Range>>),
 }
 
--- a/wisteriaglade-mesh/src/issuer.rs
+++ b/wisteriaglade-mesh/src/issuer.rs
@@ -321,8 +321,14 @@
         };
         self.withdrawn
             .retain(|known| is_assigned(known.span, known.fence));
-        self.recalled
-            .retain(|(span, fence)| is_assigned(*span, *fence));
+        // A recalled range is taken back even if the leader has reassigned it.
+        let exposures = &self.exposures;
+        self.recalled.retain(|(span, fence)| {
+            is_assigned(*span, *fence)
+                || exposures
+                    .iter()
+                    .any(|known| known.fence == *fence && known.span.overlap(*span).is_some())
+        });
         self.outdated
             .retain(|(span, fence)| is_assigned(*span, *fence));
     }
--- a/wisteriaglade-mesh/src/lib.rs
+++ b/wisteriaglade-mesh/src/lib.rs
@@ -85,13 +85,14 @@
 mod span;
 mod state;
 mod table;
+mod targets;
 
 pub use crate::{
     allotment::Allotment,
     balancer::{Balancer, Candidate},
     change::Change,
     command::{Command, Reply},
-    directory::{Directory, Entry, KeyspaceUpdate},
+    directory::{Directory, Entry, EntryUpdate, KeyspaceUpdate},
     grantor::{Grant, Grantor},
     issuer::{Call, Issuer, Order, Response},
     key_rates::KeyRates,
@@ -108,4 +109,5 @@
     span::Span,
     state::{Member, State},
     table::Table,
+    targets::Targets,
 };
--- a/wisteriaglade-mesh/src/planner.rs
+++ b/wisteriaglade-mesh/src/planner.rs
@@ -3,7 +3,11 @@
 //! The leader of the control replicas owns one [`Planner`], calls it at
 //! intervals and proposes the commands that it returns to the control log.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use wisteriaglade_types::Name;
 
@@ -152,17 +156,24 @@
     /// Returns a command for each owner all of whose holds have ended, which takes
     /// back its key ranges.
     fn revoke_ended(&self, now: Duration, state: &State, roster: &Roster) -> Vec<Command> {
-        let mut owners: Vec<&Owner> = Vec::new();
-        for range in state.keyspaces().values().flat_map(Keyspace::ranges) {
-            for owner in [&range.owner, &range.next].into_iter().flatten() {
-                if !owners.contains(&owner) {
-                    owners.push(owner);
-                }
+        let ranges = state.keyspaces().values().flat_map(Keyspace::ranges);
+        let owners: BTreeSet<&Owner> = ranges
+            .flat_map(|range| range.owner.iter().chain(&range.next))
+            .collect();
+        // The reported targets by the address of their host.
+        let mut reported: BTreeMap<SocketAddr, Vec<(&TargetReport, Duration)>> = BTreeMap::new();
+        for received in roster.reports() {
+            if let Some(target) = &received.report.target {
+                let at_address = reported.entry(target.owner.host_address).or_default();
+                at_address.push((target, received.received_at));
             }
         }
         owners
             .into_iter()
-            .filter(|owner| self.has_no_hold(now, owner, roster))
+            .filter(|owner| {
+                let at_address = reported.get(&owner.host_address);
+                self.has_no_hold(now, owner, at_address.map_or(&[], Vec::as_slice), roster)
+            })
             .map(|owner| Command::Revoke {
                 owner: owner.clone(),
             })
@@ -170,15 +181,17 @@
     }
 
     /// Returns whether every hold of a target has ended: the target was replaced
-    /// or has ended, or it is silent and its last lease has expired.
-    fn has_no_hold(&self, now: Duration, owner: &Owner, roster: &Roster) -> bool {
-        let is_replaced = roster.reports().any(|received| {
-            let target = received.report.target.as_ref().map(|target| &target.owner);
-            target.is_some_and(|target| {
-                target.host_address == owner.host_address
-                    && target != owner
-                    && target.started_ms >= owner.started_ms
-            })
+    /// or has ended, or it is silent and its last lease has expired. `reported`
+    /// are the targets that were reported at its address, and when.
+    fn has_no_hold(
+        &self,
+        now: Duration,
+        owner: &Owner,
+        reported: &[(&TargetReport, Duration)],
+        roster: &Roster,
+    ) -> bool {
+        let is_replaced = reported.iter().any(|(target, _)| {
+            target.owner != *owner && target.owner.started_ms >= owner.started_ms
         });
         let wait = self.lease.mul_f64(DRIFT_FACTOR) + TIMER_MARGIN;
         let last_lease = roster.last_lease(owner);
@@ -186,14 +199,10 @@
         if is_replaced || roster.ended().contains(owner) {
             return is_expired || !self.grants_by_call;
         }
-        let received = roster.reports().find(|received| {
-            let target = received.report.target.as_ref();
-            target.is_some_and(|target| target.owner == *owner)
-        });
-        let silent = received.is_none_or(|received| {
-            let target = received.report.target.as_ref();
-            now.saturating_sub(received.received_at) > MAX_REPORT_AGE
-                || target.is_some_and(|target| target.condition == Condition::Silent)
+        let received = reported.iter().find(|(target, _)| target.owner == *owner);
+        let silent = received.is_none_or(|(target, received_at)| {
+            now.saturating_sub(*received_at) > MAX_REPORT_AGE
+                || target.condition == Condition::Silent
         });
         silent && is_expired
     }
@@ -217,6 +226,9 @@
             return self.assign_new_pool(now, pool, &targets);
         }
         let name = pool.name.clone();
+        let assignable: BTreeSet<Owner> =
+            targets.iter().map(|target| target.owner.clone()).collect();
+        let draining = draining(roster);
         let mut grants = Vec::new();
         let mut moves = Vec::new();
         for range in keyspace.ranges() {
@@ -227,9 +239,7 @@
                     grants.push((range.span, target.owner.clone()));
                 }
                 Some(owner) if range.next.is_none() && moves.len() < MAX_MOVES_PER_STEP => {
-                    if targets.iter().all(|target| target.owner != *owner)
-                        && is_draining(owner, roster)
-                    {
+                    if draining.contains(owner) && !assignable.contains(owner) {
                         let target = with_fewest_keys(&mut targets);
                         target.keys += f64::from(range.span.len());
                         moves.push((range.span, target.owner.clone()));
@@ -336,6 +346,15 @@
 /// Returns the targets that may be given keys of a pool: those that are ready,
 /// have not ended, and whose host is not leaving and has reported recently.
 fn targets(now: Duration, pool: &Pool, keyspace: &Keyspace, roster: &Roster) -> Vec<Target> {
+    // The number of keys and of ranges that each target owns or is about to own.
+    let mut owned: BTreeMap<&Owner, (f64, usize)> = BTreeMap::new();
+    for range in keyspace.ranges() {
+        if let Some(owner) = range.next.as_ref().or(range.owner.as_ref()) {
+            let (keys, ranges) = owned.entry(owner).or_default();
+            *keys += f64::from(range.span.len());
+            *ranges += 1;
+        }
+    }
     let mut targets = Vec::new();
     for received in roster.reports() {
         let Some(target) = &received.report.target else {
@@ -350,15 +369,11 @@
         {
             continue;
         }
-        let owned = |range: &&crate::Range| {
-            range.next.as_ref().or(range.owner.as_ref()) == Some(&target.owner)
-        };
-        let keys = keyspace.ranges().iter().filter(owned);
-        let ranges = keys.clone().count();
+        let (keys, ranges) = owned.get(&target.owner).copied().unwrap_or_default();
         targets.push(Target {
             owner: target.owner.clone(),
             capacity: capacity(target),
-            keys: keys.map(|range| f64::from(range.span.len())).sum(),
+            keys,
             ranges,
             rate: target.key_rates.iter().map(|(_, count)| rate(*count)).sum(),
         });
@@ -374,14 +389,15 @@
         .expect("the caller passes at least one target")
 }
 
-/// Returns whether a target is draining. A target that is only silent keeps its
-/// keys until its holds have expired.
-fn is_draining(owner: &Owner, roster: &Roster) -> bool {
-    roster.reports().any(|received| {
-        let target = received.report.target.as_ref();
-        target
-            .is_some_and(|target| target.owner == *owner && target.condition == Condition::Draining)
-    })
+/// Returns the draining targets. A target that is only silent keeps its keys
+/// until its holds have expired.
+fn draining(roster: &Roster) -> BTreeSet<&Owner> {
+    let reports = roster.reports();
+    let targets = reports.filter_map(|received| received.report.target.as_ref());
+    targets
+        .filter(|target| target.condition == Condition::Draining)
+        .map(|target| &target.owner)
+        .collect()
 }
 
 /// Returns moves of ranges to targets that own less than [`NEW_TARGET_RATIO`] of
--- a/wisteriaglade-mesh/src/roster.rs
+++ b/wisteriaglade-mesh/src/roster.rs
@@ -5,12 +5,13 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Duration,
 };
 
 use wisteriaglade_types::Name;
 
-use crate::{Condition, Entry, Owner, Report};
+use crate::{Condition, Entry, EntryUpdate, Owner, Report};
 
 /// How long a new leader waits for first reports before it treats a host
 /// without one as gone. Hosts report several times within this time.
@@ -45,10 +46,16 @@
     /// host's report, because a host process that has just restarted does not
     /// know its target yet.
     leases: BTreeMap<Owner, Duration>,
+    /// The log index of the key ranges at the start of the term.
+    term_index: u64,
+    /// The log index after the last revocation of each target in this term.
+    revoked: BTreeMap<Owner, u64>,
     /// Targets that are known to have ended.
     ended: BTreeSet<Owner>,
     /// A counter of changes to the directory entries.
     revision: u64,
+    /// The revision of the last change of the entry at each host address.
+    changes: BTreeMap<SocketAddr, u64>,
 }
 
 impl Roster {
@@ -62,6 +69,12 @@
         }
     }
 
+    /// Sets the log index of the key ranges at the start of the term.
+    #[must_use]
+    pub fn at_index(self, term_index: u64) -> Self {
+        Self { term_index, ..self }
+    }
+
     /// Returns when the leader's term started.
     #[must_use]
     pub fn since(&self) -> Duration {
@@ -118,18 +131,25 @@
             .collect();
         for host in replaced {
             if let Some(received) = self.reports.remove(&host) {
+                self.mark_changed(received.report.address);
                 self.mark_ended(received.report.target.map(|target| target.owner));
             }
         }
         let before = self.reports.get(&report.host);
         let old = before.and_then(|received| directory_entry(&received.report));
         let new = directory_entry(&report);
-        if old != new {
-            self.revision += 1;
-        }
+        let changed = (old != new).then_some([&old, &new]);
+        let changed: Vec<_> = changed
+            .into_iter()
+            .flatten()
+            .filter_map(|entry| Some(entry.as_ref()?.address))
+            .collect();
         let owner = old.map(|entry| entry.owner);
         let previous =
             before.and_then(|received| received.report.target.as_ref()?.owner.clone().into());
+        for address in changed {
+            self.mark_changed(address);
+        }
         if let Some(target) = &report.target {
             if let Some(previous) = owner.or(previous)
                 && previous != target.owner
@@ -149,6 +169,22 @@
         true
     }
 
+    /// Records that the ranges of a target were taken back, at the latest by the
+    /// log entry `index`.
+    pub fn record_revocation(&mut self, owner: Owner, index: u64) {
+        self.revoked.insert(owner, index);
+    }
+
+    /// Returns whether a target may get a lease whose host has the key ranges of
+    /// the log entry `index`. A host that has missed the revocation of its target,
+    /// by this leader or an earlier one, would grant ranges that have another
+    /// holder.
+    #[must_use]
+    pub fn may_lease(&self, owner: &Owner, index: u64) -> bool {
+        let revoked = self.revoked.get(owner).copied().unwrap_or(0);
+        index >= revoked.max(self.term_index)
+    }
+
     /// Records that the leader gives a lease for a target at `now`.
     pub fn record_lease(&mut self, now: Duration, owner: &Owner) {
         self.leases.insert(owner.clone(), now);
@@ -169,14 +205,18 @@
     /// `named` tells whether a key range still names a target. The host of
     /// such a target is kept.
     pub fn prune(&mut self, now: Duration, named: impl Fn(&Owner) -> bool) {
-        let before = self.reports.len();
+        let mut removed = Vec::new();
         self.reports.retain(|_, received| {
             let owner = received.report.target.as_ref().map(|target| &target.owner);
-            now.saturating_sub(received.received_at) < SILENT_HOST_RETENTION
-                || owner.is_some_and(&named)
+            let keep = now.saturating_sub(received.received_at) < SILENT_HOST_RETENTION
+                || owner.is_some_and(&named);
+            if !keep {
+                removed.push(received.report.address);
+            }
+            keep
         });
-        if before != self.reports.len() {
-            self.revision += 1;
+        for address in removed {
+            self.mark_changed(address);
         }
         self.leases.retain(|owner, _| named(owner));
         self.ended.retain(named);
@@ -189,6 +229,34 @@
         reports.filter_map(directory_entry).collect()
     }
 
+    /// Returns what has changed in [`Roster::entries`] since `revision`.
+    #[must_use]
+    pub fn entries_since(&self, revision: u64) -> EntryUpdate {
+        let changes = self.changes.iter();
+        let addresses: BTreeSet<_> = changes
+            .filter(|(_, changed)| **changed > revision)
+            .map(|(address, _)| *address)
+            .collect();
+        let mut removed = addresses.clone();
+        let mut updated = Vec::new();
+        let reports = self.reports.values().map(|received| &received.report);
+        for report in reports.filter(|report| addresses.contains(&report.address)) {
+            if let Some(entry) = directory_entry(report) {
+                removed.remove(&entry.address);
+                updated.push(entry);
+            }
+        }
+        EntryUpdate::Changed {
+            updated,
+            removed: removed.into_iter().collect(),
+        }
+    }
+
+    fn mark_changed(&mut self, address: SocketAddr) {
+        self.revision += 1;
+        self.changes.insert(address, self.revision);
+    }
+
     fn mark_ended(&mut self, owner: Option<Owner>) {
         if let Some(owner) = owner {
             self.ended.insert(owner);
--- a/wisteriaglade-mesh/tests/issuer.rs
+++ b/wisteriaglade-mesh/tests/issuer.rs
@@ -301,16 +301,20 @@
 
 /// Guards against a hold that outlasts the wait of the leader: the process was
 /// suspended between its decision for the call and the write, so that the hold
-/// counts from a late arrival.
+/// counts from a late arrival. Meanwhile the leader may have given the range away.
 #[rstest]
-#[case::answered(done())]
-#[case::unanswered(Response::Unknown)]
-fn a_grant_that_was_held_up_is_taken_back(#[case] response: Response) {
+fn a_grant_that_was_held_up_is_taken_back(
+    #[values(done(), Response::Unknown)] response: Response,
+    #[values(false, true)] is_reassigned: bool,
+) {
     let owner = owner("i-1", 1);
     let mut issuer = issuer(&owner, &granted(&owner));
     let order = only_order(&mut issuer, START);
 
     issuer.settle(at(START + 5_000), order.id, response);
+    if is_reassigned {
+        issuer.allotment.update(9, State::default().keyspaces());
+    }
     let recall = only_order(&mut issuer, START + 5_200);
 
     assert!(!issuer.holds(at(START + 5_001), 7));
--- a/wisteriaglade-mesh/tests/planner.rs
+++ b/wisteriaglade-mesh/tests/planner.rs
@@ -163,6 +163,19 @@
     assert_eq!(late, [revoke]);
 }
 
+/// Guards against two holders of a key: a host that was suspended until its target
+/// lost its ranges gets a lease before it learns of that, and grants them again.
+#[test]
+fn a_host_that_has_missed_a_revocation_gets_no_lease() {
+    let mut roster = Roster::new(at(0)).at_index(40);
+    roster.record_revocation(owner("i-1"), 55);
+
+    assert!(!roster.may_lease(&owner("i-1"), 54));
+    assert!(roster.may_lease(&owner("i-1"), 55));
+    assert!(!roster.may_lease(&owner("i-2"), 39));
+    assert!(roster.may_lease(&owner("i-2"), 40));
+}
+
 /// Returns a pool whose keys are divided equally between three targets with 4
 /// slots. `rates` is the load in requests per ten seconds, and `means` the mean
 /// request times of the targets in milliseconds.
