Wait for a lease that was given before the first ranges

The leader forgot the lease of a target that owned no range. A target that then got its first ranges and fell silent before its next report lost them after the wait from the start of the term: its hold lasted 0.5 s longer than the leader waited, and two targets held the same keys.

The planner's test fails without the change.

--- a/wisteriaglade-mesh/src/roster.rs
+++ b/wisteriaglade-mesh/src/roster.rs
@@ -26,6 +26,10 @@
 /// detect by themselves whether they can reach it.
 const SILENT_HOST_RETENTION: Duration = Duration::from_secs(12);
 
+/// How long the time of a lease is kept for a target that owns no keys. It may
+/// get keys under that lease, and exceeds the wait for the lease to expire.
+const LEASE_RETENTION: Duration = Duration::from_secs(12);
+
 /// The last report of a host and when the leader received it.
 #[derive(Debug, Clone)]
 pub struct ReceivedReport {
@@ -218,7 +222,8 @@
         for address in removed {
             self.mark_changed(address);
         }
-        self.leases.retain(|owner, _| named(owner));
+        self.leases
+            .retain(|owner, given| named(owner) || now.saturating_sub(*given) < LEASE_RETENTION);
         self.ended.retain(named);
     }
 
--- a/wisteriaglade-mesh/tests/planner.rs
+++ b/wisteriaglade-mesh/tests/planner.rs
@@ -176,6 +176,24 @@
     assert!(roster.may_lease(&owner("i-2"), 40));
 }
 
+/// Guards against two holders of a key: a target gets its first keys under a lease
+/// that was given before them, and its host falls silent before the next one.
+#[test]
+fn a_lease_from_before_the_first_grant_is_waited_for() {
+    let mut planner = Planner::new(LEASE);
+    let mut roster = Roster::new(at(0));
+    roster.report(at(10_000), report("h", 1, Some("i-1")));
+    roster.record_lease(at(10_000), &owner("i-1"));
+
+    roster.prune(at(10_050), |_| false);
+    let state = granted("i-1");
+    let early = planner.step(at(13_400), &state, &roster);
+    let late = planner.step(at(13_500), &state, &roster);
+
+    assert_eq!(early, []);
+    assert_eq!(late.len(), 1);
+}
+
 /// Returns a pool whose keys are divided equally between three targets with 4
 /// slots. `rates` is the load in requests per ten seconds, and `means` the mean
 /// request times of the targets in milliseconds.
