Match each response to its request before it is used

A target may send a copy of a response late, when its connection is in use again. The copy of a response that says "not run" was taken for the refusal of the next request, which then ran: a caller got 503 for work that was done. A response with the id of another request now closes its connection, is counted (foreign_responses) and leaves the outcome unknown. A release of key ranges, whose response has no id, uses a connection of its own.

Bodies are read up to 16 MiB, and up to 64 MiB in all; before, bytes without end were buffered until the deadline.

tests/answers.rs plays copies (in one segment, 1, 50 and 500 ms later, after the next request), refusals that come twice, answers that break off, and heads and bodies without end.

--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,133 @@
+//! System tests of answers that break HTTP, with real processes.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use support::platform::{Fleet, Servers};
+use tokio::time::sleep;
+
+/// The bound for a new fleet to serve.
+const START_BOUND: Duration = Duration::from_secs(15);
+
+/// The memory of a process that runs beside a target on the users' machines.
+const MEMORY_LIMIT_KIB: u64 = 160 * 1024;
+
+/// Starts a fleet whose only target answers as the id of a request asks. The
+/// callers' host is that of the target.
+async fn faulty_fleet(net: u8) -> Fleet {
+    let fleet = Fleet::start_with(net, 1, 0, 1, Servers::Faulty).await;
+    let started = Instant::now();
+    let mut attempt = 0;
+    while fleet
+        .request(1, "book", &format!("book-start-{attempt}"), 0)
+        .await
+        .0
+        != StatusCode::OK
+    {
+        assert!(started.elapsed() < START_BOUND, "the fleet does not serve");
+        attempt += 1;
+        sleep(Duration::from_millis(50)).await;
+    }
+    fleet
+}
+
+/// Guards against an answer that reaches another caller: the target sends each
+/// answer twice, the copy in one segment with the answer, some time after it, or
+/// after the next request was written. A request that may run only once may fail
+/// because of it, but gets no other's answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_copy_of_an_answer_reaches_no_caller() {
+    let fleet = faulty_fleet(220).await;
+    let faults = ["copy-0", "copy-1", "copy-50", "copy-500", "later-0"];
+
+    for (number, fault) in faults.iter().cycle().take(25).enumerate() {
+        let first = format!("book-{fault}-{number}");
+        let (status, text) = fleet.request(1, "book", &first, 0).await;
+        if status == StatusCode::OK {
+            assert_eq!(text, format!("{first} by faulty"));
+        }
+        for pause in [0, 20, 60] {
+            sleep(Duration::from_millis(pause)).await;
+            let next = format!("book-next-{pause}-{number}");
+            let (status, text) = fleet.request(1, "book", &next, 0).await;
+            if status == StatusCode::OK {
+                assert_eq!(text, format!("{next} by faulty"), "after {first}");
+            }
+        }
+        // A connection with a byte too many is closed, so that the requests after
+        // the one that met the copy are served.
+        let after = format!("book-after-0-{number}");
+        let (status, text) = fleet.request(1, "book", &after, 0).await;
+        assert_eq!(status, StatusCode::OK, "{text} after {first}");
+    }
+    fleet.check();
+}
+
+/// Guards against a refusal that is not true: the copy of an answer that says "not
+/// run" comes after the next request was written, which then does run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_copy_of_a_refusal_is_no_refusal_of_the_next_request() {
+    let fleet = faulty_fleet(223).await;
+
+    for number in 0..10 {
+        fleet
+            .request(1, "book", &format!("book-shed-{number}"), 0)
+            .await;
+        let next = format!("book-next-0-{number}");
+        let (status, text) = fleet.request(1, "book", &next, 0).await;
+        let has_run = fleet.observations.lock().unwrap().runs.contains_key(&next);
+        let says_not_run = status == StatusCode::SERVICE_UNAVAILABLE;
+        assert!(!(has_run && says_not_run), "{next} ran: {status} {text}");
+    }
+    fleet.check();
+}
+
+/// Guards against an answer that broke off and reaches the caller as a success:
+/// short of its length, or before the last chunk.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_broke_off_is_no_success() {
+    let fleet = faulty_fleet(221).await;
+
+    for id in ["book-cut-0", "book-chunk-0", "book-cut-1", "book-chunk-1"] {
+        let (status, text) = fleet.request(1, "book", id, 0).await;
+        assert_eq!(status, StatusCode::BAD_GATEWAY, "{text}");
+    }
+    let (status, text) = fleet.request(1, "book", "book-whole-0", 0).await;
+
+    assert_eq!(status, StatusCode::OK, "{text}");
+    fleet.check();
+}
+
+/// Guards against a process that runs out of memory, or a slot that stays in use,
+/// while targets send bytes without end in a head or a body.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_are_bounded() {
+    let fleet = faulty_fleet(222).await;
+
+    // The target is cut off at the limit of bytes or, in crumbs, at the deadline,
+    // which the hosts of the caller and of the target reach at the same time.
+    let ids = ["book-head-0", "book-body-0", "book-body-1", "book-crumbs-0"];
+    let endless = async {
+        let [a, b, c, d] = ids.map(|id| fleet.request(1, "book", id, 0));
+        <[_; 4]>::from(tokio::join!(a, b, c, d))
+    };
+    let measure = async {
+        let mut peak = 0;
+        for _ in 0..40 {
+            sleep(Duration::from_millis(50)).await;
+            peak = peak.max(fleet.hosts[1].process.as_ref().unwrap().resident_kib());
+        }
+        peak
+    };
+    let (answers, peak) = tokio::join!(endless, measure);
+    let (status, text) = fleet.request(1, "book", "book-whole-0", 0).await;
+
+    let [head, body, other_body, crumbs] = answers.map(|(status, _)| status.as_u16());
+    assert_eq!([head, body, other_body], [502; 3]);
+    assert!(matches!(crumbs, 502 | 504), "{crumbs}");
+    assert!(peak < MEMORY_LIMIT_KIB, "{peak} KiB");
+    assert_eq!(status, StatusCode::OK, "{text}");
+    fleet.check();
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,7 +6,7 @@
 
 use http::StatusCode;
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
-use support::platform::{Fleet, LinkFault};
+use support::platform::{Fleet, LinkFault, Servers};
 use tokio::time::sleep;
 
 /// The time in which the platform requires service to recover after a fault.
@@ -59,7 +59,7 @@
 /// process that is replaced, and one that is suspended past its lease.
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_granted_by_calls_have_one_holder() {
-    let mut fleet = Fleet::start_with(8, 3, 3, 1, true).await;
+    let mut fleet = Fleet::start_with(8, 3, 3, 1, Servers::Call).await;
     wait_until_ready(&fleet).await;
 
     fleet.hosts[3].kill();
@@ -252,7 +252,12 @@
     let mut random = StdRng::seed_from_u64(seed);
     let net = 10 + u8::try_from(seed % 200).unwrap_or(0);
     // Every other seed plays servers that take their ranges by calls.
-    let mut fleet = Fleet::start_with(net, 5, 2, 2, seed.is_multiple_of(2)).await;
+    let servers = if seed.is_multiple_of(2) {
+        Servers::Call
+    } else {
+        Servers::Heartbeat
+    };
+    let mut fleet = Fleet::start_with(net, 5, 2, 2, servers).await;
     wait_until_ready(&fleet).await;
     let mut number = 0;
     for _ in 0..FAULTS_PER_RUN {
--- /dev/null
+++ b/tests/support/faulty.rs
@@ -0,0 +1,164 @@
+//! A test server that answers in ways that HTTP does not allow.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+use super::platform::Observations;
+
+/// The size of the pieces in which bytes without end are written.
+const PIECE: usize = 64 * 1024;
+
+/// A request as the server reads it.
+struct Request {
+    id: String,
+    /// The fault that the id of the request asks for, with a time in
+    /// milliseconds where it needs one.
+    fault: String,
+    millis: u64,
+}
+
+/// Accepts connections until the task is aborted. The id of a request names the
+/// fault, as in `book-copy-50-7`; other requests are answered correctly.
+pub async fn serve(listener: TcpListener, observations: Arc<Mutex<Observations>>) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            let observations = Arc::clone(&observations);
+            // An error means that the caller closed the connection.
+            tokio::spawn(async move { answer_all(stream, &observations).await });
+        }
+    }
+}
+
+/// Answers the requests of a connection.
+async fn answer_all(
+    mut stream: TcpStream,
+    observations: &Mutex<Observations>,
+) -> std::io::Result<()> {
+    let mut copy: Option<(Vec<u8>, u64)> = None;
+    while let Some(request) = read_request(&mut stream).await? {
+        if let Some((answer, 0)) = copy.take() {
+            // The copy of the previous answer comes after this request.
+            stream.write_all(&answer).await?;
+        }
+        if request.fault != "shed" {
+            record_run(observations, &request.id);
+        }
+        let answer = whole_answer(&request.id);
+        let head_end = answer.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
+        match request.fault.as_str() {
+            "copy" if request.millis == 0 => {
+                stream.write_all(&[answer.clone(), answer].concat()).await?;
+            }
+            "copy" => {
+                stream.write_all(&answer).await?;
+                sleep(Duration::from_millis(request.millis)).await;
+                stream.write_all(&answer).await?;
+            }
+            "later" => {
+                stream.write_all(&answer).await?;
+                copy = Some((answer, 0));
+            }
+            "shed" => {
+                let refusal = refusal(&request.id);
+                stream.write_all(&refusal).await?;
+                copy = Some((refusal, 0));
+            }
+            "cut" => {
+                stream.write_all(&answer[..answer.len() - 3]).await?;
+                return Ok(());
+            }
+            "chunk" => {
+                let head = head_of(&request.id, "transfer-encoding: chunked");
+                stream.write_all(head.as_bytes()).await?;
+                stream.write_all(b"5\r\nhello\r\n").await?;
+                return Ok(());
+            }
+            "head" => {
+                stream.write_all(&answer[..head_end - 2]).await?;
+                write_without_end(&mut stream, b"x-more: more\r\n").await?;
+            }
+            "body" | "crumbs" => {
+                let head = head_of(&request.id, "transfer-encoding: chunked");
+                stream.write_all(head.as_bytes()).await?;
+                let size = if request.fault == "body" { 8192 } else { 8 };
+                let chunk = format!("{size:x}\r\n{}\r\n", "x".repeat(size));
+                write_without_end(&mut stream, chunk.as_bytes()).await?;
+            }
+            _ => stream.write_all(&answer).await?,
+        }
+    }
+    Ok(())
+}
+
+fn record_run(observations: &Mutex<Observations>, id: &str) {
+    let mut observations = observations.lock().unwrap();
+    *observations.runs.entry(id.to_owned()).or_default() += 1;
+}
+
+/// Writes text again and again until the connection is closed.
+async fn write_without_end(stream: &mut TcpStream, text: &[u8]) -> std::io::Result<()> {
+    let piece = text.repeat(PIECE / text.len());
+    loop {
+        stream.write_all(&piece).await?;
+    }
+}
+
+fn head_of(id: &str, framing: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-wisteriaglade-request-id: {id}\r\n\
+         x-wisteriaglade-response-seal: seal-{id}\r\n{framing}\r\n\r\n"
+    )
+}
+
+/// An answer which says that the request was not run.
+fn refusal(id: &str) -> Vec<u8> {
+    let head = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nx-wisteriaglade-request-id: {id}\r\n\
+         x-wisteriaglade-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+    );
+    head.into_bytes()
+}
+
+fn whole_answer(id: &str) -> Vec<u8> {
+    let body = format!("{id} by faulty");
+    let head = head_of(id, &format!("content-length: {}", body.len()));
+    [head.into_bytes(), body.into_bytes()].concat()
+}
+
+/// Reads a request with its body. Returns `None` at the end of the connection.
+async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<Request>> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read_u8().await {
+            Ok(byte) => head.push(byte),
+            Err(_) => return Ok(None),
+        }
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let value = |name: &str| {
+        let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+        lines
+            .find(|(known, _)| *known == name)
+            .map(|(_, v)| v.to_owned())
+    };
+    let length = value("content-length").and_then(|length| length.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body).await?;
+    let id = value("x-wisteriaglade-request-id").unwrap_or_default();
+    let mut parts = id.split('-').skip(1).map(str::to_owned);
+    let fault = parts.next().unwrap_or_default();
+    let millis = parts.next().and_then(|millis| millis.parse().ok());
+    Ok(Some(Request {
+        id,
+        fault,
+        millis: millis.unwrap_or(0),
+    }))
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,6 +12,7 @@
 pub mod calls;
 pub mod check;
 pub mod cluster;
+pub mod faulty;
 pub mod holds;
 pub mod platform;
 pub mod process;
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -23,6 +23,7 @@
 
 use super::{
     client::Client,
+    faulty,
     holds::{Holds, RangeCall},
     process::{Process, print_log_tail},
     proxy::{Endpoint, Impairment, Network},
@@ -421,6 +422,17 @@
     ];
 }
 
+/// How the servers of a fleet take their key ranges and answer requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Servers {
+    /// They take their ranges in the answers to their heartbeats.
+    Heartbeat,
+    /// They take their ranges by calls.
+    Call,
+    /// They answer as the id of a request asks; see [`faulty`].
+    Faulty,
+}
+
 /// A fleet of control replicas and of hosts with servers. The servers belong to
 /// a pool that is sharded by key (`keyed`) or to one that is not (`plain`).
 #[derive(Debug)]
@@ -437,20 +449,13 @@
     /// Starts a fleet whose servers take their ranges in the answers to their
     /// heartbeats. See [`Fleet::start_with`].
     pub async fn start(net: u8, controls: u8, keyed: u8, plain: u8) -> Self {
-        Self::start_with(net, controls, keyed, plain, false).await
+        Self::start_with(net, controls, keyed, plain, Servers::Heartbeat).await
     }
 
     /// Starts `controls` control replicas and the given numbers of `keyed` and
     /// `plain` hosts, and applies a first plan. `net` is the third octet of the
     /// loopback addresses and must differ between tests that run concurrently.
-    /// `grants_by_call` sets whether the servers take their ranges by calls.
-    pub async fn start_with(
-        net: u8,
-        controls: u8,
-        keyed: u8,
-        plain: u8,
-        grants_by_call: bool,
-    ) -> Self {
+    pub async fn start_with(net: u8, controls: u8, keyed: u8, plain: u8, servers: Servers) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let observations = Arc::new(Mutex::new(Observations::default()));
         let seeds: Vec<String> = (1..=controls.min(3))
@@ -476,7 +481,7 @@
                  bounds.budget-window-s=10\nbounds.budget-slack=50\ngrants={}\n",
                 seeds.join(","),
                 (controls - 1) / 2,
-                if grants_by_call {
+                if servers == Servers::Call {
                     "request"
                 } else {
                     "heartbeat"
@@ -503,9 +508,8 @@
             };
             host.start();
             if !is_control {
-                host.server = Some(
-                    start_server(address, service, grants_by_call, Arc::clone(&observations)).await,
-                );
+                host.server =
+                    Some(start_server(address, service, servers, Arc::clone(&observations)).await);
                 let end = hosts.len();
                 let listener = TcpListener::bind((address, RELAY_PORT)).await.unwrap();
                 let server_address = (address, SERVER_PORT).into();
@@ -707,7 +711,7 @@
 async fn start_server(
     address: Ipv4Addr,
     service: &str,
-    grants_by_call: bool,
+    servers: Servers,
     observations: Arc<Mutex<Observations>>,
 ) -> JoinHandle<()> {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
@@ -719,7 +723,7 @@
         control: (address, CONTROL_PORT).into(),
         sharded: service == "keyed",
         observations,
-        holds: grants_by_call.then(Holds::default),
+        holds: (servers == Servers::Call).then(Holds::default),
         grant_calls: AtomicU64::new(0),
         held: Mutex::default(),
         released: Mutex::default(),
@@ -741,6 +745,10 @@
             }
         };
         let accepts = async {
+            if servers == Servers::Faulty {
+                faulty::serve(listener, Arc::clone(&server.observations)).await;
+                return;
+            }
             loop {
                 let Ok((stream, _)) = listener.accept().await else {
                     continue;
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -65,6 +65,15 @@
         self.child.wait().unwrap();
     }
 
+    /// Returns the resident memory of the process in KiB.
+    pub fn resident_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap();
+        let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.unwrap().parse().unwrap()
+    }
+
     /// Sends SIGSTOP.
     pub fn pause(&self) {
         self.signal(Signal::STOP);
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -17,14 +17,17 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, response::Parts};
 use http_body_util::Full;
 use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
 use tracing::{info, warn};
 use wisteriaglade_mesh::{Arrival, Completion, Condition, Effect, Load, Queue, Reason};
 use wisteriaglade_types::Name;
 
-use super::{Host, target::Client, target::Failure};
+use super::{
+    Host,
+    target::{Client, Failure, Reuse},
+};
 use crate::{
     Dialect,
     frame::{Answer, Content, Frame, Offer, Outcome},
@@ -439,7 +442,13 @@
         let request = content.and_then(|content| build_request::<D>(offer, &content, left));
         let result = match request {
             Some(request) => {
-                let call = self.admission.target.call(request, offer.repeatable);
+                let reuse = if offer.repeatable {
+                    Reuse::Any
+                } else {
+                    Reuse::Recent
+                };
+                let is_own = |head: &Parts| is_answer_to::<D>(head, &offer.request);
+                let call = self.admission.target.call(request, reuse, is_own);
                 match timeout(left + RESPONSE_GRACE, call).await {
                     Ok(result) => result,
                     Err(_) => Err(Failure::Broken(
@@ -512,8 +521,7 @@
     /// sender are told.
     ///
     /// A response with status 421 or the header [`Dialect::NOT_RUN`] means that
-    /// the target did not run the request. A response without the request's id
-    /// is taken for that of another request, so the outcome is unknown.
+    /// the target did not run the request.
     fn classify<D: Dialect>(
         &self,
         offer: &Offer,
@@ -542,6 +550,11 @@
                 return (Completion::Shed, outcome);
             }
             Err(Failure::Broken(detail)) => return (Completion::Broken, unknown(detail)),
+            Err(Failure::Foreign) => {
+                self.metrics.foreign_responses.inc();
+                let detail = "the target sent a response to another request";
+                return (Completion::Broken, unknown(detail.to_owned()));
+            }
         };
         let (head, body) = response.into_parts();
         let not_run = head.headers.contains_key(D::NOT_RUN);
@@ -559,11 +572,6 @@
             };
             return (Completion::Shed, outcome);
         }
-        let echoed = head.headers.get(D::REQUEST_ID);
-        if echoed.is_none_or(|id| id.as_bytes() != offer.request.as_bytes()) {
-            let detail = "the response does not carry the id of the request";
-            return (Completion::Broken, unknown(detail.to_owned()));
-        }
         let headers = head
             .headers
             .iter()
@@ -585,6 +593,17 @@
     }
 }
 
+/// Whether a response belongs to the request with the given id: it carries that
+/// id, or it carries none and tells that the target did not run the request.
+fn is_answer_to<D: Dialect>(head: &Parts, request: &str) -> bool {
+    match head.headers.get(D::REQUEST_ID) {
+        Some(id) => id.as_bytes() == request.as_bytes(),
+        None => {
+            head.headers.contains_key(D::NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST
+        }
+    }
+}
+
 /// Formats an outcome for the log, without the headers and body of an answer.
 struct OutcomeSummary<'a>(&'a Outcome);
 
--- a/wisteriaglade-fleet/src/host/grants.rs
+++ b/wisteriaglade-fleet/src/host/grants.rs
@@ -13,7 +13,10 @@
 use wisteriaglade_mesh::{self as mesh, Call, Order};
 use wisteriaglade_types::Name;
 
-use super::{Host, target::Failure};
+use super::{
+    Host,
+    target::{Failure, Reuse},
+};
 use crate::{Dialect, lock, metrics::GrantCallLabels};
 
 /// The longest pause between two checks for calls that are due.
@@ -51,7 +54,13 @@
         let request = build_request::<D>(&call, &target, &self.sidecar.target.to_string());
         let result = match request {
             Some(request) => {
-                let sending = self.grant_client.call(request, true);
+                // The response to a release cannot be told from the copy of one to
+                // an earlier call.
+                let reuse = match call {
+                    Call::Grant { .. } => Reuse::Any,
+                    Call::Release { .. } => Reuse::Never,
+                };
+                let sending = self.grant_client.call(request, reuse, |_| true);
                 timeout(call.timeout(), sending).await.unwrap_or_else(|_| {
                     let detail = "the target did not respond in time";
                     Err(Failure::Broken(detail.to_owned()))
@@ -138,7 +147,7 @@
     let response = match result {
         Ok(response) => response,
         Err(Failure::Unsent(_)) => return mesh::Response::Rejected,
-        Err(Failure::Broken(_)) => return mesh::Response::Unknown,
+        Err(Failure::Broken(_) | Failure::Foreign) => return mesh::Response::Unknown,
     };
     let handover = response.headers().get(D::HANDOVER);
     match response.status() {
--- a/wisteriaglade-fleet/src/host/target.rs
+++ b/wisteriaglade-fleet/src/host/target.rs
@@ -5,8 +5,8 @@
 
 use std::{net::SocketAddr, sync::Mutex, time::Duration};
 
-use bytes::Bytes;
-use http::{Request, Response};
+use bytes::{Bytes, BytesMut};
+use http::{Request, Response, response::Parts};
 use http_body_util::{BodyExt as _, Full};
 use hyper::{
     body::Incoming,
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
+    sync::{Semaphore, SemaphorePermit},
     task::JoinHandle,
     time::{Instant, timeout},
 };
@@ -37,6 +38,13 @@
 /// The highest number of idle connections.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
+/// The largest body of a response, in bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// The most bytes of bodies that are being read at the same time. It leaves half
+/// of the memory of the smallest hosts to the rest of the process.
+const MAX_BUFFERED_BYTES: usize = 64 * 1024 * 1024;
+
 /// Why a request got no response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Failure {
@@ -44,6 +52,20 @@
     Unsent(&'static str),
     /// The request was sent, and the target may have run it.
     Broken(String),
+    /// The request was sent, and a response to another request came back. The
+    /// target may have run it.
+    Foreign,
+}
+
+/// Which idle connections a request may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reuse {
+    /// Any, for a request that may run again if the target has closed it.
+    Any,
+    /// One that was used recently, for a request that may run only once.
+    Recent,
+    /// None, for a request whose response cannot be told from that of another.
+    Never,
 }
 
 /// An HTTP/1 connection to the target.
@@ -69,6 +91,8 @@
 pub(super) struct Client {
     address: SocketAddr,
     idle: Mutex<Vec<Connection>>,
+    /// Has a permit for each byte that may be buffered.
+    buffer: Semaphore,
 }
 
 impl Client {
@@ -76,27 +100,31 @@
         Self {
             address,
             idle: Mutex::default(),
+            buffer: Semaphore::new(MAX_BUFFERED_BYTES),
         }
     }
 
     /// Sends a request and reads the whole response. Dropping the future closes
     /// the connection.
     ///
-    /// A `repeatable` request may use a connection that has been idle longer.
+    /// `reuse` tells which idle connections may be used, and `is_own` whether the
+    /// head of a response belongs to the request: a target may send a copy of an
+    /// earlier response late, when the connection is in use again.
     ///
     /// # Errors
     ///
-    /// Returns [`Failure::Unsent`] if the request has not run and
-    /// [`Failure::Broken`] if it may have run.
+    /// Returns [`Failure::Unsent`] if the request has not run, and another
+    /// failure if it may have run.
     pub(super) async fn call(
         &self,
         request: Request<Full<Bytes>>,
-        repeatable: bool,
+        reuse: Reuse,
+        is_own: impl Fn(&Parts) -> bool,
     ) -> Result<Response<Bytes>, Failure> {
         let mut request = request;
-        if let Some(mut connection) = self.take_idle(repeatable) {
+        if let Some(mut connection) = self.take_idle(reuse) {
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return self.read_response(connection, response).await,
+                Ok(response) => return self.read_response(connection, response, is_own).await,
                 Err(mut error) => match error.take_message() {
                     // The connection was closed before the request was written.
                     Some(unsent) => request = unsent,
@@ -106,7 +134,7 @@
         }
         let mut connection = self.connect().await?;
         match connection.sender.try_send_request(request).await {
-            Ok(response) => self.read_response(connection, response).await,
+            Ok(response) => self.read_response(connection, response, is_own).await,
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(Failure::Unsent(
                     "the connection was closed before the request was written",
@@ -124,15 +152,15 @@
     }
 
     /// Takes an idle connection that is fit for the request, the last used first.
-    fn take_idle(&self, repeatable: bool) -> Option<Connection> {
+    fn take_idle(&self, reuse: Reuse) -> Option<Connection> {
+        let limit = match reuse {
+            Reuse::Never => return None,
+            Reuse::Recent => ONCE_IDLE_TIMEOUT,
+            Reuse::Any => IDLE_TIMEOUT,
+        };
         let mut idle = lock(&self.idle);
         while let Some(connection) = idle.pop() {
             let age = connection.last_used.elapsed();
-            let limit = if repeatable {
-                IDLE_TIMEOUT
-            } else {
-                ONCE_IDLE_TIMEOUT
-            };
             if age < limit && connection.sender.is_ready() {
                 return Some(connection);
             }
@@ -167,17 +195,18 @@
     }
 
     /// Reads the body of a response and keeps the connection for another request
-    /// unless the target closes it.
+    /// unless the target closes it or the response is not the request's own.
     async fn read_response(
         &self,
         mut connection: Connection,
         response: Response<Incoming>,
+        is_own: impl Fn(&Parts) -> bool,
     ) -> Result<Response<Bytes>, Failure> {
         let (head, body) = response.into_parts();
-        let body = match body.collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) => return Err(Failure::Broken(error.to_string())),
-        };
+        if !is_own(&head) {
+            return Err(Failure::Foreign);
+        }
+        let body = self.read_body(body).await?;
         let closes = head
             .headers
             .get(http::header::CONNECTION)
@@ -191,4 +220,32 @@
         }
         Ok(Response::from_parts(head, body))
     }
+
+    /// Reads a whole body of at most [`MAX_BODY_BYTES`], if there is room for it
+    /// beside the bodies of other responses.
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, Failure> {
+        let mut content = BytesMut::new();
+        let mut reserved: Option<SemaphorePermit<'_>> = None;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| Failure::Broken(error.to_string()))?;
+            let Ok(piece) = frame.into_data() else {
+                continue;
+            };
+            let too_large = || Failure::Broken("the response is too large".to_owned());
+            if content.len() + piece.len() > MAX_BODY_BYTES {
+                return Err(too_large());
+            }
+            let size = u32::try_from(piece.len()).map_err(|_| too_large())?;
+            let permit = self
+                .buffer
+                .try_acquire_many(size)
+                .map_err(|_| too_large())?;
+            match &mut reserved {
+                Some(reserved) => reserved.merge(permit),
+                None => reserved = Some(permit),
+            }
+            content.extend_from_slice(&piece);
+        }
+        Ok(content.freeze())
+    }
 }
--- a/wisteriaglade-fleet/src/metrics.rs
+++ b/wisteriaglade-fleet/src/metrics.rs
@@ -54,6 +54,7 @@
     pub(crate) requests: Family<RequestLabels, Counter>,
     pub(crate) rejections: Family<RejectionLabels, Counter>,
     pub(crate) repeats: Counter,
+    pub(crate) foreign_responses: Counter,
     pub(crate) latency: Histogram,
     pub(crate) queue_time: Histogram,
     pub(crate) target_time: Histogram,
@@ -78,6 +79,7 @@
             requests: Family::default(),
             rejections: Family::default(),
             repeats: Counter::default(),
+            foreign_responses: Counter::default(),
             latency: latency(),
             queue_time: latency(),
             target_time: latency(),
@@ -116,6 +118,11 @@
             "Requests sent to a second target",
             self.repeats.clone(),
         );
+        registry.register(
+            "foreign_responses",
+            "Responses of the target that belong to another request",
+            self.foreign_responses.clone(),
+        );
         registry.register(
             "request_seconds",
             "From the request to the answer",
