--- a/wisteriaglade-fleet/src/host/target.rs
+++ b/wisteriaglade-fleet/src/host/target.rs
@@ -210,10 +210,10 @@
         };
         let open = (reuse != Reuse::Never).then(|| Arc::clone(&self.open));
         let driver = tokio::spawn(async move {
-            let _open = open;
             if let Err(error) = driver.await {
                 debug!(event = "target-connection-broken", error = %error);
             }
+            drop(open);
         });
         Ok(Connection {
             sender,
