Keep a draining target out of use when its host restarts

A host process that has just started does not know that its target left: some targets announce it once and go on with heartbeats that say ready. The leader took the report for the whole truth, and the target got new requests and keys again. The roster now remembers that a run of a target drains until it ends. The test of the roster failed before (entries ready, ready, ready instead of ready, draining, ready).

--- a/wisteriaglade-mesh/src/roster.rs
+++ b/wisteriaglade-mesh/src/roster.rs
@@ -56,6 +56,9 @@
     revoked: BTreeMap<Owner, u64>,
     /// Targets that are known to have ended.
     ended: BTreeSet<Owner>,
+    /// Targets that have been reported as draining, and when last. A target drains
+    /// until it ends, but a host process that has just started may not know it.
+    draining: BTreeMap<Owner, Duration>,
     /// A counter of changes to the directory entries.
     revision: u64,
     /// The revision of the last change of the entry at each host address.
@@ -114,13 +117,21 @@
     /// Returns `false` if the report belongs to an earlier run of the host
     /// process and is ignored. A target that the report shows to be replaced
     /// or gone is added to [`Roster::ended`].
-    pub fn report(&mut self, now: Duration, report: Report) -> bool {
+    pub fn report(&mut self, now: Duration, mut report: Report) -> bool {
         if let Some(known) = self.reports.get(&report.host)
             && known.report.session > report.session
             && now.saturating_sub(known.received_at) < MAX_REPORT_DELAY
         {
             return false;
         }
+        if let Some(target) = &mut report.target {
+            if target.condition == Condition::Ready && self.draining.contains_key(&target.owner) {
+                target.condition = Condition::Draining;
+            }
+            if target.condition == Condition::Draining {
+                self.draining.insert(target.owner.clone(), now);
+            }
+        }
         // An address belongs to one host at a time, so a host that reported it
         // in an earlier session no longer exists.
         let replaced: Vec<_> = self
@@ -224,6 +235,8 @@
         }
         self.leases
             .retain(|owner, given| named(owner) || now.saturating_sub(*given) < LEASE_RETENTION);
+        self.draining
+            .retain(|_, reported| now.saturating_sub(*reported) < SILENT_HOST_RETENTION);
         self.ended.retain(named);
     }
 
--- a/wisteriaglade-mesh/tests/targets.rs
+++ b/wisteriaglade-mesh/tests/targets.rs
@@ -126,6 +126,32 @@
     );
 }
 
+/// Guards against a target that has left and is in use again: its host is replaced by
+/// a process that does not know that the target drains, and the target says nothing
+/// of it in its heartbeats. Another run of the target is ready.
+#[test]
+fn a_draining_target_stays_so_when_its_host_restarts() {
+    let mut roster = roster();
+    roster.report(at(200), report(2, 1, Condition::Draining));
+
+    let mut restarted = report(2, 1, Condition::Ready);
+    restarted.session = 2;
+    roster.report(at(300), restarted);
+    let same_run = roster.entries();
+    roster.report(at(400), report(3, 2, Condition::Ready));
+    roster.report(at(400), report(2, 2, Condition::Ready));
+    let next_run = roster.entries();
+
+    let ready = |entries: &[Entry]| -> Vec<bool> {
+        sorted(entries.iter().cloned())
+            .iter()
+            .map(|entry| entry.ready)
+            .collect()
+    };
+    assert_eq!(ready(&same_run), [true, false, true]);
+    assert_eq!(ready(&next_run), [true, true, true]);
+}
+
 /// Guards against a difference that grows with the fleet instead of the change.
 #[test]
 fn a_difference_holds_only_what_has_changed() {
