--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -38,6 +38,7 @@
 /// The port that the server listens on.
 const SERVER_PORT: u16 = 8638;
 const LINK_PORT: u16 = 7600;
+const METRICS_PORT: u16 = 7601;
 
 /// The interval of the servers' heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -360,6 +361,16 @@
         (self.address, CONTROL_PORT).into()
     }
 
+    /// The addresses that the process listens on.
+    pub fn listeners(&self) -> Vec<SocketAddr> {
+        let mut ports = vec![CONTROL_PORT, LINK_PORT, METRICS_PORT];
+        if !self.is_control {
+            ports.extend([CALLERS_PORT, READY_PORT]);
+        }
+        let address = |port| SocketAddr::from((self.address, port));
+        ports.into_iter().map(address).collect()
+    }
+
     /// Starts the process.
     pub fn start(&mut self) {
         self.process = Some(Process::start_platform(&self.settings, &self.log));
