Let a new control replica find a leader that is no seed

A replica with an empty disk knows only the seeds. When the seeds that are left are followers, its request to join reached no leader, and the group stayed one short for good: a second loss was then one too many.

A follower now answers a request to join with the link address of the leader, to which the new replica opens a link.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
@@ -100,6 +100,40 @@
     fleet.check();
 }
 
+/// Guards against a group that stays one short, or that loses an accepted plan, when
+/// a control host goes for good and another one with an empty disk comes in its
+/// place, twice: then two of the remaining first replicas are lost, which leaves a
+/// majority only together with the new ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_control_hosts_replace_those_that_went_for_good() {
+    let mut fleet = Fleet::start(9, 5, 1, 1).await;
+    wait_until_ready(&fleet).await;
+    let mut accepted = 0;
+
+    for gone in 0..2 {
+        fleet.hosts[gone].kill();
+        let new = fleet.add_control();
+        let started = Instant::now();
+        while !fleet.group_has(new) {
+            assert!(
+                started.elapsed() < RECOVERY_BOUND,
+                "host {new} is in no group"
+            );
+            sleep(Duration::from_millis(100)).await;
+        }
+        accepted = fleet.configure().await;
+    }
+    for lost in 2..4 {
+        fleet.hosts[lost].kill();
+    }
+
+    assert_eq!(fleet.version(RECOVERY_BOUND).await, accepted);
+    let next = fleet.configure().await;
+    assert_eq!(fleet.version(RECOVERY_BOUND).await, next);
+    fleet.wait_until_served(5, 7, RECOVERY_BOUND).await;
+    fleet.check();
+}
+
 /// Guards against replicas that never discover each other: two of the three
 /// seeds lost their disks, the third has an outdated log and can't be elected,
 /// and the other two replicas are not in any settings file.
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -545,6 +545,57 @@
         fleet
     }
 
+    /// Starts another control replica with an empty disk, at an address of its own
+    /// that no settings file names, and returns its number.
+    pub fn add_control(&mut self) -> usize {
+        let first = &self.hosts[0];
+        let number = self.hosts.len() + 1;
+        let [a, b, c, _] = first.address.octets();
+        let address = Ipv4Addr::new(a, b, c, u8::try_from(number).unwrap());
+        let data = first.data.with_file_name(format!("data-{number}"));
+        let replace = |line: &str| match line.split_once('=') {
+            Some(("node", _)) => format!("node=host-{number}"),
+            Some(("listen.control", _)) => format!("listen.control={address}:{CONTROL_PORT}"),
+            Some(("data-dir", _)) => format!("data-dir={}", data.display()),
+            _ => line.to_owned(),
+        };
+        let text = std::fs::read_to_string(&first.settings).unwrap();
+        let lines: Vec<String> = text.lines().map(replace).collect();
+        let settings = first.settings.with_file_name(format!("{number}.conf"));
+        std::fs::write(&settings, lines.join("\n")).unwrap();
+        let mut host = Host {
+            address,
+            is_control: true,
+            log: settings.with_extension("log"),
+            settings,
+            data,
+            process: None,
+            server: None,
+        };
+        host.start();
+        self.hosts.push(host);
+        number - 1
+    }
+
+    /// Whether a leader has added the replica on a host to the group, as the logs
+    /// say.
+    pub fn group_has(&self, host: usize) -> bool {
+        let log = std::fs::read_to_string(&self.hosts[host].log).unwrap_or_default();
+        let replica = log
+            .split("event=\"replica\" replica=")
+            .nth(1)
+            .and_then(|rest| rest.split(' ').next());
+        let Some(replica) = replica else {
+            return false;
+        };
+        self.hosts.iter().any(|other| {
+            let log = std::fs::read_to_string(&other.log).unwrap_or_default();
+            log.lines().any(|line| {
+                line.contains("event=\"group\"") && line.contains(&format!("joined={replica}"))
+            })
+        })
+    }
+
     /// Injects a fault into the connections between a host and its target.
     pub fn inject_fault(&self, host: usize, fault: LinkFault) {
         let (near, far) = (Endpoint::Host(host), Endpoint::Target(host));
--- a/wisteriaglade-fleet/src/control/leader.rs
+++ b/wisteriaglade-fleet/src/control/leader.rs
@@ -82,6 +82,9 @@
     disconnected: BTreeMap<u64, Duration>,
     /// When this replica last sent [`Frame::Join`].
     join_sent: Duration,
+    /// The link address of the leader that another replica has named, while this
+    /// one is not in the group and knows no other addresses than the seeds.
+    named_leader: Option<SocketAddr>,
     /// The targets whose ranges are being taken back by commands without a result.
     revoking: BTreeSet<Owner>,
     /// When the planner last ran.
@@ -120,6 +123,7 @@
             reconfiguring: false,
             disconnected: BTreeMap::new(),
             join_sent: Duration::ZERO,
+            named_leader: None,
             published_at: Duration::ZERO,
             plans: BTreeMap::new(),
         };
@@ -171,10 +175,16 @@
         self.publish(now, &mut inner);
     }
 
-    /// Opens links to all known replicas and to the seeds of the settings, unless
-    /// they are open, and closes all other links.
+    /// Opens links to all known replicas, to a leader that was named and to the seeds
+    /// of the settings, unless they are open, and closes all other links.
     fn connect(&self) {
         let mut addresses = self.handle.status().links();
+        let mut inner = lock(&self.inner);
+        if !addresses.is_empty() {
+            inner.named_leader = None;
+        }
+        addresses.extend(inner.named_leader);
+        drop(inner);
         addresses.extend(self.settings.seeds.iter().copied());
         self.group.connect(self, &addresses);
     }
@@ -449,7 +459,13 @@
     fn join(&self, connection: &Connection, replica: u64, admin_address: SocketAddr) {
         let now = self.clock.now();
         let mut inner = lock(&self.inner);
-        if inner.term.is_none() || inner.reconfiguring {
+        if inner.term.is_none() {
+            // The seeds that the new replica knows may all be followers.
+            let leader = self.handle.status().leader_link();
+            connection.send(Frame::Redirect { leader });
+            return;
+        }
+        if inner.reconfiguring {
             return;
         }
         let status = self.handle.status();
@@ -578,6 +594,10 @@
                 self.handle.send(Input::Confirmed { from, term, round });
             }
             Frame::Join { replica, control } => self.join(connection, replica, control),
+            Frame::Redirect { leader } => {
+                lock(&self.inner).named_leader = leader;
+                self.connect();
+            }
             Frame::Renew {
                 seq,
                 report,
