--- a/tests/support/faulty.rs
+++ b/tests/support/faulty.rs
@@ -11,7 +11,7 @@
     time::sleep,
 };
 
-use super::platform::Observations;
+use super::server::Observations;
 
 /// The size of the pieces in which bytes without end are written.
 const PIECE: usize = 64 * 1024;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -17,6 +17,7 @@
 pub mod platform;
 pub mod process;
 pub mod proxy;
+pub mod server;
 
 use std::{
     fmt::Debug,
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -1,342 +1,41 @@
-//! A fleet in platform mode: real router processes, and test doubles for the
-//! application servers, their heartbeats and the operator.
+//! A fleet in platform mode: real router processes, test doubles for the
+//! application servers, and the calls of an operator.
 
 use std::{
-    collections::{BTreeMap, HashMap},
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, Full};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
-use serde_json::{Value, json};
+use http::StatusCode;
+use serde_json::json;
 use tempfile::TempDir;
-use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+use tokio::{net::TcpListener, task::JoinHandle};
 
 use super::{
     client::Client,
-    faulty,
-    holds::{Holds, RangeCall},
     process::{Process, print_log_tail},
     proxy::{Endpoint, Impairment, Network},
+    server::{self, Observations, RELAY_PORT, SERVER_PORT},
     wait_for,
 };
 
-const CONTROL_PORT: u16 = 8620;
+pub use super::server::Servers;
+
+pub(super) const CONTROL_PORT: u16 = 8620;
 const CALLERS_PORT: u16 = 8629;
 const READY_PORT: u16 = 8625;
-/// The port of the relay through which a host reaches its server.
-const RELAY_PORT: u16 = 8628;
-/// The port that the server listens on.
-const SERVER_PORT: u16 = 8638;
 const LINK_PORT: u16 = 7600;
 const METRICS_PORT: u16 = 7601;
 
-/// The interval of the servers' heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
-
-/// The time that a server works on a request.
-const WORK_TIME: Duration = Duration::from_millis(15);
-
-/// Each grant by call whose number is a multiple of this gets no answer.
-const LATE_GRANT_INTERVAL: u64 = 23;
-
-/// The time after which a grant without an answer is applied.
-const GRANT_DELAY: Duration = Duration::from_millis(700);
-
 /// The timeout of an operator's call.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(1);
 
 const PUT_PLAN: &str = "/rpc?call=config.put";
 const GET_PLAN: &str = "/rpc?call=config.get";
 
-/// The longest time that two servers may hold a key at once.
-const MAX_OVERLAP: Duration = Duration::from_millis(500);
-
-/// What the servers executed and held, for the checks at the end of a test.
-#[derive(Debug, Default)]
-pub struct Observations {
-    /// The number of times that each request started to run, by request id.
-    pub runs: HashMap<String, u32>,
-    /// Descriptions of violated invariants.
-    pub violations: Vec<String>,
-    /// The latest holder of each sampled key.
-    holders: BTreeMap<u16, Holder>,
-}
-
-/// A server that holds a key, its fencing token and the end of its hold.
-#[derive(Debug)]
-struct Holder {
-    server: String,
-    fence: u64,
-    until: Instant,
-}
-
-impl Observations {
-    /// Records that a server holds a sampled key until `until`. It is a
-    /// violation if another server holds the key for more than [`MAX_OVERLAP`]
-    /// from now, or if the fencing token is not newer than that of the other
-    /// server.
-    fn record_hold(&mut self, sample: u16, server: &str, fence: u64, until: Instant) {
-        let now = Instant::now();
-        if let Some(other) = self.holders.get(&sample)
-            && other.server != server
-        {
-            if other.until > now + MAX_OVERLAP {
-                let left = other.until - now;
-                let text = format!("keys {sample}: {server} and {} for {left:?}", other.server);
-                self.violations.push(text);
-            }
-            if fence <= other.fence {
-                let text = format!("keys {sample}: token {fence} after {}", other.fence);
-                self.violations.push(text);
-            }
-        }
-        let server = server.to_owned();
-        self.holders.insert(
-            sample,
-            Holder {
-                server,
-                fence,
-                until,
-            },
-        );
-    }
-
-    /// Records that a server has released a sampled key.
-    fn record_release(&mut self, sample: u16, server: &str) {
-        if let Some(holder) = self.holders.get_mut(&sample)
-            && holder.server == server
-        {
-            holder.until = Instant::now();
-        }
-    }
-}
-
-/// A test double for an application server.
-#[derive(Debug)]
-struct Server {
-    id: String,
-    born: u64,
-    service: String,
-    address: SocketAddr,
-    control: SocketAddr,
-    sharded: bool,
-    observations: Arc<Mutex<Observations>>,
-    /// The ranges that the server was granted by calls; `None` if it takes its
-    /// ranges in the answers to its heartbeats.
-    holds: Option<Holds>,
-    /// The number of grants by calls.
-    grant_calls: AtomicU64,
-    /// The granted ranges: first and last key, fencing token and expiry.
-    held: Mutex<Vec<(u16, u16, u64, Instant)>>,
-    /// The released ranges that no heartbeat has reported yet: first and last
-    /// key and a unique token.
-    released: Mutex<Vec<(u16, u16, String)>>,
-    seq: Mutex<u64>,
-}
-
-impl Server {
-    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let header = |name: &str| {
-            let value = request.headers().get(name)?;
-            Some(value.to_str().ok()?.to_owned())
-        };
-        let id = header("x-wisteriaglade-request-id").unwrap_or_default();
-        let expected = header("x-wisteriaglade-target-instance");
-        let key = header("x-wisteriaglade-shard-key").and_then(|key| key.parse::<u16>().ok());
-        if request.uri().path() == "/grant" || request.uri().path() == "/release" {
-            return self.answer_range_call(request).await;
-        }
-        let now = Instant::now();
-        let holds = key.is_some_and(|key| {
-            if let Some(holds) = &self.holds {
-                return holds.contains(key);
-            }
-            let held = self.held.lock().unwrap();
-            held.iter()
-                .any(|(from, to, _, until)| (*from..=*to).contains(&key) && *until > now)
-        });
-        if expected.is_some_and(|expected| expected != self.id) || (self.sharded && !holds) {
-            return Response::builder()
-                .status(StatusCode::MISDIRECTED_REQUEST)
-                .header("x-wisteriaglade-not-executed", "1")
-                .body(Full::default())
-                .unwrap();
-        }
-        *self
-            .observations
-            .lock()
-            .unwrap()
-            .runs
-            .entry(id.clone())
-            .or_default() += 1;
-        let body = request.into_body().collect().await;
-        match (&self.holds, key) {
-            (Some(holds), Some(key)) => holds.run(key, sleep(WORK_TIME)).await,
-            _ => sleep(WORK_TIME).await,
-        }
-        let text = format!(
-            "{id} by {} {}",
-            self.id,
-            body.map_or(0, |b| b.to_bytes().len())
-        );
-        Response::builder()
-            .header("x-wisteriaglade-request-id", &id)
-            .header("x-wisteriaglade-response-seal", format!("seal-{id}"))
-            .body(Full::new(Bytes::from(text)))
-            .unwrap()
-    }
-
-    /// Answers a call that grants a range or takes it back. Each
-    /// [`LATE_GRANT_INTERVAL`]th grant is applied late and gets no answer.
-    async fn answer_range_call(
-        self: &Arc<Self>,
-        request: Request<Incoming>,
-    ) -> Response<Full<Bytes>> {
-        let arrived = Instant::now();
-        let is_grant = request.uri().path() == "/grant";
-        let body = request.into_body().collect().await;
-        let body = body.map(|body| serde_json::from_slice(&body.to_bytes()).ok());
-        let (Some(_), Ok(Some(body))) = (&self.holds, body) else {
-            return status(StatusCode::BAD_REQUEST);
-        };
-        let call = RangeCall::decode(&body);
-        if !is_grant {
-            let holds = self.holds.as_ref().unwrap();
-            holds.release(call).await;
-            let mut observations = self.observations.lock().unwrap();
-            for sample in sampled_keys(call.from, call.to) {
-                observations.record_release(sample, &self.id);
-            }
-            let text = format!("token-{}-{}", call.from, call.fence);
-            return Response::builder()
-                .header("x-wisteriaglade-handover", text)
-                .body(Full::default())
-                .unwrap();
-        }
-        let number = self.grant_calls.fetch_add(1, Ordering::Relaxed) + 1;
-        if number.is_multiple_of(LATE_GRANT_INTERVAL) {
-            let server = Arc::clone(self);
-            tokio::spawn(async move {
-                sleep(GRANT_DELAY).await;
-                server.apply_grant(call, arrived);
-            });
-            return std::future::pending().await;
-        }
-        if self.apply_grant(call, arrived) {
-            status(StatusCode::OK)
-        } else {
-            status(StatusCode::CONFLICT)
-        }
-    }
-
-    /// Applies a grant that arrived at `arrived`, unless it is outdated.
-    fn apply_grant(&self, call: RangeCall, arrived: Instant) -> bool {
-        let until = arrived + call.hold.unwrap();
-        let holds = self.holds.as_ref().unwrap();
-        let is_taken = holds.grant(call, until);
-        if is_taken {
-            let mut observations = self.observations.lock().unwrap();
-            for sample in sampled_keys(call.from, call.to) {
-                observations.record_hold(sample, &self.id, call.fence, until);
-            }
-        }
-        is_taken
-    }
-
-    /// Sends one heartbeat and applies the ranges that the answer grants.
-    async fn send_heartbeat(&self, client: &Client) {
-        let sent = Instant::now();
-        let (holds, released) = {
-            let mut held = self.held.lock().unwrap();
-            held.retain(|(_, _, _, until)| *until > sent);
-            let holds: Vec<_> = held
-                .iter()
-                .map(|(a, b, fence, _)| (*a, *b, *fence))
-                .collect();
-            (holds, self.released.lock().unwrap().clone())
-        };
-        let seq = {
-            let mut seq = self.seq.lock().unwrap();
-            *seq += 1;
-            *seq
-        };
-        let body = json!({
-            "service": self.service, "address": self.address.to_string(), "zone": "a",
-            "version": "v1", "slots": 6, "state": "ready", "cold-remaining-s": 0, "seq": seq,
-            "born": self.born, "holds": holds, "released": released,
-        });
-        let path = format!("/rpc?call=instances.heartbeat&of={}", self.id);
-        let sending = client.send(self.control, "POST", &path, &[], body.to_string());
-        let Ok(Ok(answer)) = tokio::time::timeout(Duration::from_secs(1), sending).await else {
-            return;
-        };
-        if !answer.status.is_success() {
-            return;
-        }
-        self.released
-            .lock()
-            .unwrap()
-            .retain(|row| !released.contains(row));
-        let answer = answer.json();
-        if let (Some(rows), Some(hold)) = (answer["holds"].as_array(), answer["hold-s"].as_f64()) {
-            self.apply_grants(rows, sent + Duration::from_secs_f64(hold));
-        }
-    }
-
-    /// Replaces the held ranges by `rows`, valid until `until`, and releases
-    /// those that are no longer granted.
-    fn apply_grants(&self, rows: &[Value], until: Instant) {
-        let number = |row: &Value, at: usize| row[at].as_u64().unwrap_or(0);
-        let key = |row: &Value, at: usize| u16::try_from(number(row, at)).unwrap_or(0);
-        let mut observations = self.observations.lock().unwrap();
-        let mut held = self.held.lock().unwrap();
-        for (from, to, fence, _) in held.drain(..) {
-            let stays = rows
-                .iter()
-                .any(|row| key(row, 0) <= from && to <= key(row, 1) && number(row, 2) == fence);
-            if !stays {
-                let token = format!("token-{from}-{fence}");
-                self.released.lock().unwrap().push((from, to, token));
-                for sample in sampled_keys(from, to) {
-                    observations.record_release(sample, &self.id);
-                }
-            }
-        }
-        for row in rows {
-            let (from, to, fence) = (key(row, 0), key(row, 1), number(row, 2));
-            held.push((from, to, fence, until));
-            for sample in sampled_keys(from, to) {
-                observations.record_hold(sample, &self.id, fence, until);
-            }
-        }
-    }
-}
-
-/// Returns an empty answer.
-fn status(status: StatusCode) -> Response<Full<Bytes>> {
-    Response::builder()
-        .status(status)
-        .body(Full::default())
-        .unwrap()
-}
-
-/// Returns the sampled keys in a range: every 512th.
-fn sampled_keys(from: u16, to: u16) -> impl Iterator<Item = u16> {
-    (0..=u16::MAX)
-        .step_by(512)
-        .filter(move |key| (from..=to).contains(key))
-}
-
 /// A host of the fleet: a control replica, or a node with its server.
 #[derive(Debug)]
 pub struct Host {
@@ -433,17 +132,6 @@
     ];
 }
 
-/// How the servers of a fleet take their key ranges and answer requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Servers {
-    /// They take their ranges in the answers to their heartbeats.
-    Heartbeat,
-    /// They take their ranges by calls.
-    Call,
-    /// They answer as the id of a request asks; see [`faulty`].
-    Faulty,
-}
-
 /// A fleet of control replicas and of hosts with servers. The servers belong to
 /// a pool that is sharded by key (`keyed`) or to one that is not (`plain`).
 #[derive(Debug)]
@@ -520,7 +208,7 @@
             host.start();
             if !is_control {
                 host.server =
-                    Some(start_server(address, service, servers, Arc::clone(&observations)).await);
+                    Some(server::start(address, service, servers, Arc::clone(&observations)).await);
                 let end = hosts.len();
                 let listener = TcpListener::bind((address, RELAY_PORT)).await.unwrap();
                 let server_address = (address, SERVER_PORT).into();
@@ -768,68 +456,3 @@
         }
     }
 }
-
-/// Starts a server and sends its heartbeats until the task is aborted.
-async fn start_server(
-    address: Ipv4Addr,
-    service: &str,
-    servers: Servers,
-    observations: Arc<Mutex<Observations>>,
-) -> JoinHandle<()> {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-    let server = Arc::new(Server {
-        id: format!("i-{address}"),
-        born: u64::try_from(since.as_millis()).unwrap(),
-        service: service.to_owned(),
-        address: (address, RELAY_PORT).into(),
-        control: (address, CONTROL_PORT).into(),
-        sharded: service == "keyed",
-        observations,
-        holds: (servers == Servers::Call).then(Holds::default),
-        grant_calls: AtomicU64::new(0),
-        held: Mutex::default(),
-        released: Mutex::default(),
-        seq: Mutex::new(0),
-    });
-    let listener = TcpListener::bind((address, SERVER_PORT)).await.unwrap();
-    tokio::spawn(async move {
-        let heartbeats = async {
-            let client = Client::new();
-            loop {
-                server.send_heartbeat(&client).await;
-                let is_busy = !server.released.lock().unwrap().is_empty();
-                sleep(if is_busy {
-                    HEARTBEAT_INTERVAL / 3
-                } else {
-                    HEARTBEAT_INTERVAL
-                })
-                .await;
-            }
-        };
-        let accepts = async {
-            if servers == Servers::Faulty {
-                faulty::serve(listener, Arc::clone(&server.observations)).await;
-                return;
-            }
-            loop {
-                let Ok((stream, _)) = listener.accept().await else {
-                    continue;
-                };
-                let server = Arc::clone(&server);
-                tokio::spawn(async move {
-                    let service = service_fn(move |request| {
-                        let server = Arc::clone(&server);
-                        async move { Ok::<_, std::convert::Infallible>(server.answer(request).await) }
-                    });
-                    let connection = http1::Builder::new();
-                    // An error here means that the caller closed the
-                    // connection.
-                    let _ = connection
-                        .serve_connection(TokioIo::new(stream), service)
-                        .await;
-                });
-            }
-        };
-        tokio::join!(heartbeats, accepts);
-    })
-}
