--- a/wisteriaglade-mesh/tests/targets.rs
+++ b/wisteriaglade-mesh/tests/targets.rs
@@ -138,8 +138,9 @@
     restarted.session = 2;
     roster.report(at(300), restarted);
     let same_run = roster.entries();
-    roster.report(at(400), report(3, 2, Condition::Ready));
-    roster.report(at(400), report(2, 2, Condition::Ready));
+    let mut next = report(2, 2, Condition::Ready);
+    next.session = 2;
+    roster.report(at(400), next);
     let next_run = roster.entries();
 
     let ready = |entries: &[Entry]| -> Vec<bool> {
