Reserve the loopback addresses of a test cluster while it runs

Test clusters drew a block of addresses at random, checked it with a bind and let it go, and test fleets used fixed ones. Two clusters could draw one block, also between two runs of the tests; "Address already in use" for 127.169.42.1:8080 was seen once. A block is now marked by a listener for as long as its cluster exists.

--- a/examples/support/cluster.rs
+++ b/examples/support/cluster.rs
@@ -2,7 +2,7 @@
 //! has a loopback address of its own.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
     path::Path,
     sync::Arc,
     time::{Duration, Instant},
@@ -13,6 +13,7 @@
 use wisteriaglade::node::{Daemon, Settings};
 
 use super::{
+    addresses::Block,
     client::{Client, Error},
     target::{Config, Target},
 };
@@ -51,6 +52,8 @@
 pub struct Cluster {
     pub hosts: Vec<RunningHost>,
     pub client: Client,
+    /// The addresses of the hosts, unless their settings files name them.
+    _block: Option<Block>,
 }
 
 impl Cluster {
@@ -64,22 +67,16 @@
         extra: &str,
         data: &Path,
     ) -> Result<Self, Error> {
-        let address_block = choose_address_block()?;
+        let block = Block::reserve()?;
         let mut running = Vec::new();
         for (position, host) in hosts.iter().enumerate() {
-            let text = settings(
-                host,
-                position,
-                (address_block, replicas),
-                holders,
-                extra,
-                data,
-            );
+            let text = settings(host, position, (&block, replicas), holders, extra, data);
             running.push(launch(host, &text).await?);
         }
         let cluster = Self {
             hosts: running,
             client: Client::new(),
+            _block: Some(block),
         };
         cluster.announce().await?;
         Ok(cluster)
@@ -116,6 +113,7 @@
         let cluster = Self {
             hosts: running,
             client: Client::new(),
+            _block: None,
         };
         cluster.announce().await?;
         Ok(cluster)
@@ -235,38 +233,23 @@
     }
 }
 
-/// Chooses the second and third byte of the cluster's loopback addresses, so that
-/// no other cluster on this machine uses them. Clusters use an address block of
-/// their own and not free ports of 127.0.0.1, because another process could bind
-/// a free port before the daemon does.
-fn choose_address_block() -> Result<[u8; 2], Error> {
-    for _ in 0..64 {
-        let [second, third]: [u8; 2] = rand::random();
-        let address_block = [128 | second & 63, third];
-        if TcpListener::bind(address(address_block, 0, PEER_PORT)).is_ok() {
-            return Ok(address_block);
-        }
-    }
-    Err("no free block of loopback addresses".into())
-}
-
 /// Returns the address of the host at `position` in a block.
-fn address([second, third]: [u8; 2], position: usize, port: u16) -> SocketAddr {
+fn address(block: &Block, position: usize, port: u16) -> SocketAddr {
     let last = u8::try_from(position + 1).unwrap_or(u8::MAX);
-    (Ipv4Addr::new(127, second, third, last), port).into()
+    (block.address(last), port).into()
 }
 
 /// Writes the settings file of one host.
 fn settings(
     host: &Host,
     position: usize,
-    (address_block, replicas): ([u8; 2], usize),
+    (block, replicas): (&Block, usize),
     holders: usize,
     extra: &str,
     data: &Path,
 ) -> String {
     use std::fmt::Write as _;
-    let own = |port| address(address_block, position, port);
+    let own = |port| address(block, position, port);
     let mut text = format!(
         "host: {}\ndata_centre: {}\nlisten:\n  caller: {}\n  peer: {}\n  admin: {}\n\
          cluster_key: sample-cluster-key-on-loopback\nholders: {holders}\nlog: warn\nreplicas:\n",
@@ -277,7 +260,7 @@
         own(ADMIN_PORT)
     );
     for replica in 0..replicas {
-        let peer = address(address_block, replica, PEER_PORT);
+        let peer = address(block, replica, PEER_PORT);
         let _ = writeln!(text, "  - {{ id: {}, peer: '{peer}' }}", replica + 1);
     }
     if position < replicas {
--- a/examples/support/mod.rs
+++ b/examples/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each example uses a part of it")]
 
+pub mod addresses;
 pub mod client;
 pub mod cluster;
 pub mod target;
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -3,7 +3,7 @@
 
 use std::{
     fmt::Write as _,
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, SocketAddr},
     path::PathBuf,
     sync::Arc,
     time::Duration,
@@ -19,6 +19,7 @@
 };
 
 use super::{
+    addresses::Block,
     calls::{Call, Calls, RequestSpec},
     check,
     client::{Answer, Client},
@@ -106,6 +107,7 @@
     pub seed: u64,
     options: Options,
     data: TempDir,
+    _block: Block,
     _serial_guard: MutexGuard<'static, ()>,
 }
 
@@ -121,11 +123,11 @@
         let seed = seed.unwrap_or_else(rand::random);
         eprintln!("SEED={seed}");
         let data = tempfile::tempdir().unwrap();
-        let block = unused_block();
+        let block = Block::reserve().unwrap();
         let net = Network::new(seed);
         let mut hosts = Vec::new();
         for number in 0..options.hosts {
-            hosts.push(start_host(number, block, &options, &net, &data).await);
+            hosts.push(start_host(number, &block, &options, &net, &data).await);
         }
         let mut cluster = Self {
             hosts,
@@ -135,6 +137,7 @@
             seed,
             options,
             data,
+            _block: block,
             _serial_guard: serial_guard,
         };
         for number in 0..cluster.hosts.len() {
@@ -414,21 +417,9 @@
     }
 }
 
-/// Returns the second and third octet of an unused block of loopback addresses,
-/// so that tests don't share ports with each other or with other programs.
-fn unused_block() -> [u8; 2] {
-    loop {
-        let block = [rand::random_range(64..250), rand::random_range(1..250)];
-        let address = (address(block, 1), PEER_PORT);
-        if std::net::TcpListener::bind(address).is_ok() {
-            return block;
-        }
-    }
-}
-
-fn address([second, third]: [u8; 2], last: usize) -> IpAddr {
-    let last = u8::try_from(last).unwrap();
-    Ipv4Addr::new(127, second, third, last).into()
+/// Returns the address in a block with the last byte `last`.
+fn address(block: &Block, last: usize) -> IpAddr {
+    block.address(u8::try_from(last).unwrap()).into()
 }
 
 /// Returns the host that has an address.
@@ -446,7 +437,7 @@
 /// Starts the target and the relays of a host and writes its settings file.
 async fn start_host(
     number: usize,
-    block: [u8; 2],
+    block: &Block,
     options: &Options,
     net: &Arc<Network>,
     data: &TempDir,
@@ -499,7 +490,7 @@
 fn settings_text(
     name: &str,
     number: usize,
-    block: [u8; 2],
+    block: &Block,
     options: &Options,
     data: &TempDir,
 ) -> String {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,8 @@
 
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
+#[path = "../../examples/support/addresses.rs"]
+pub mod addresses;
 #[path = "../../examples/support/client.rs"]
 pub mod client;
 #[path = "../../examples/support/target.rs"]
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -15,6 +15,7 @@
 use tokio::{net::TcpListener, task::JoinHandle};
 
 use super::{
+    addresses::Block,
     client::Client,
     process::{Process, print_log_tail},
     proxy::{Endpoint, Impairment, Network},
@@ -141,29 +142,36 @@
     pub client: Client,
     net: Arc<Network>,
     version: u64,
+    block: Block,
     _folder: TempDir,
 }
 
 impl Fleet {
     /// Starts a fleet whose servers take their ranges in the answers to their
     /// heartbeats. See [`Fleet::start_with`].
-    pub async fn start(net: u8, controls: u8, keyed: u8, plain: u8) -> Self {
-        Self::start_with(net, controls, keyed, plain, Servers::Heartbeat).await
+    pub async fn start(seed: u8, controls: u8, keyed: u8, plain: u8) -> Self {
+        Self::start_with(seed, controls, keyed, plain, Servers::Heartbeat).await
     }
 
     /// Starts `controls` control replicas and the given numbers of `keyed` and
-    /// `plain` hosts, and applies a first plan. `net` is the third octet of the
-    /// loopback addresses and must differ between tests that run concurrently.
-    pub async fn start_with(net: u8, controls: u8, keyed: u8, plain: u8, servers: Servers) -> Self {
+    /// `plain` hosts, and applies a first plan. `seed` is that of the relays.
+    pub async fn start_with(
+        seed: u8,
+        controls: u8,
+        keyed: u8,
+        plain: u8,
+        servers: Servers,
+    ) -> Self {
         let folder = tempfile::tempdir().unwrap();
+        let block = Block::reserve().unwrap();
         let observations = Arc::new(Mutex::new(Observations::default()));
         let seeds: Vec<String> = (1..=controls.min(3))
-            .map(|host| format!("127.9.{net}.{host}:{CONTROL_PORT}"))
+            .map(|host| format!("{}:{CONTROL_PORT}", block.address(host)))
             .collect();
-        let relays = Network::new(net.into());
+        let relays = Network::new(seed.into());
         let mut hosts = Vec::new();
         for number in 1..=controls + keyed + plain {
-            let address = Ipv4Addr::new(127, 9, net, number);
+            let address = block.address(number);
             let is_control = number <= controls;
             let service = if number <= controls + keyed {
                 "keyed"
@@ -224,6 +232,7 @@
             client: Client::new(),
             net: relays,
             version: 0,
+            block,
             _folder: folder,
         };
         fleet.configure().await;
@@ -238,8 +247,7 @@
     pub fn add_control(&mut self) -> usize {
         let first = &self.hosts[0];
         let number = self.hosts.len() + 1;
-        let [a, b, c, _] = first.address.octets();
-        let address = Ipv4Addr::new(a, b, c, u8::try_from(number).unwrap());
+        let address = self.block.address(u8::try_from(number).unwrap());
         let data = first.data.with_file_name(format!("data-{number}"));
         let replace = |line: &str| match line.split_once('=') {
             Some(("node", _)) => format!("node=host-{number}"),
