Add tests of answers to an earlier attempt of the same request

Both attempts of a request have one id, so an answer or refusal to the first one that comes late on a connection is taken for that to the second one, if it uses the same connection.

The answers of the faulty stand-in name the number of the run, and the existing tests compare it too.

--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -16,8 +16,8 @@
 
 /// Starts a fleet whose only target answers as the id of a request asks. The
 /// callers' host is that of the target.
-async fn faulty_fleet(net: u8) -> Fleet {
-    let fleet = Fleet::start_with(net, 1, 0, 1, Servers::Faulty).await;
+async fn faulty_fleet(seed: u8) -> Fleet {
+    let fleet = Fleet::start_with(seed, 1, 0, 1, Servers::Faulty).await;
     let started = Instant::now();
     let mut attempt = 0;
     while fleet
@@ -33,6 +33,14 @@
     fleet
 }
 
+/// Starts a fleet whose only target answers as [`faulty_fleet`] says and belongs to
+/// a pool that is sharded by key.
+async fn keyed_faulty_fleet(seed: u8) -> Fleet {
+    let fleet = Fleet::start_with(seed, 1, 1, 0, Servers::Faulty).await;
+    fleet.wait_until_served(1, 0, START_BOUND).await;
+    fleet
+}
+
 /// Guards against an answer that reaches another caller: the target sends each
 /// answer twice, the copy in one segment with the answer, some time after it, or
 /// after the next request was written. A request that may run only once may fail
@@ -40,20 +48,20 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_second_copy_of_an_answer_reaches_no_caller() {
     let fleet = faulty_fleet(220).await;
-    let faults = ["copy-0", "copy-1", "copy-50", "copy-500", "later-0"];
+    let faults = ["copy-0", "copy-1", "copy-50", "copy-500", "later"];
 
     for (number, fault) in faults.iter().cycle().take(25).enumerate() {
         let first = format!("book-{fault}-{number}");
         let (status, text) = fleet.request(1, "book", &first, 0).await;
         if status == StatusCode::OK {
-            assert_eq!(text, format!("{first} by faulty"));
+            assert_eq!(text, format!("{first} by faulty, run 1"));
         }
         for pause in [0, 20, 60] {
             sleep(Duration::from_millis(pause)).await;
             let next = format!("book-next-{pause}-{number}");
             let (status, text) = fleet.request(1, "book", &next, 0).await;
             if status == StatusCode::OK {
-                assert_eq!(text, format!("{next} by faulty"), "after {first}");
+                assert_eq!(text, format!("{next} by faulty, run 1"), "after {first}");
             }
         }
         // A connection with a byte too many is closed, so that the requests after
@@ -84,6 +92,40 @@
     fleet.check();
 }
 
+/// Guards against a request that may run only once and runs twice: its target
+/// refuses the first offer, and the second copy of that refusal comes after the
+/// second offer was written on the same connection, which does run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_copy_of_a_refusal_is_no_refusal_of_the_next_offer() {
+    let fleet = keyed_faulty_fleet(225).await;
+
+    for number in 0..10 {
+        let id = format!("charge-busy-{number}");
+        let (status, text) = fleet.request(1, "charge", &id, 0).await;
+        assert_eq!(status, StatusCode::OK, "{text}");
+        assert_eq!(text, format!("{id} by faulty, run 1"));
+    }
+    fleet.check();
+}
+
+/// Guards against an answer to the first attempt of a read that is taken for the
+/// answer to the second one: the first attempt meets the second copy of an earlier
+/// answer, and its own answer comes later on the same connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_to_the_first_attempt_is_no_answer_to_the_second() {
+    let fleet = keyed_faulty_fleet(226).await;
+
+    for number in 0..10 {
+        let earlier = format!("read-later-{number}");
+        fleet.request(1, "read", &earlier, 0).await;
+        let id = format!("read-work-30-{number}");
+        let (status, text) = fleet.request(1, "read", &id, 0).await;
+        assert_eq!(status, StatusCode::OK, "{text}");
+        assert_eq!(text, format!("{id} by faulty, run 2"));
+    }
+    fleet.check();
+}
+
 /// Guards against an answer that broke off and reaches the caller as a success:
 /// short of its length, or before the last chunk.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/support/faulty.rs
+++ b/tests/support/faulty.rs
@@ -1,6 +1,7 @@
 //! A test server that answers in ways that HTTP does not allow.
 
 use std::{
+    collections::HashMap,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -42,16 +43,29 @@
     mut stream: TcpStream,
     observations: &Mutex<Observations>,
 ) -> std::io::Result<()> {
-    let mut copy: Option<(Vec<u8>, u64)> = None;
+    let mut copy: Option<Vec<u8>> = None;
     while let Some(request) = read_request(&mut stream).await? {
-        if let Some((answer, 0)) = copy.take() {
+        let is_refused = match request.fault.as_str() {
+            "shed" => true,
+            "busy" => count_offer(observations, &request.id) == 1,
+            _ => false,
+        };
+        let run = if is_refused {
+            0
+        } else {
+            record_run(observations, &request.id)
+        };
+        if let Some(answer) = copy.take() {
             // The copy of the previous answer comes after this request.
             stream.write_all(&answer).await?;
         }
-        if request.fault != "shed" {
-            record_run(observations, &request.id);
+        if is_refused {
+            let refusal = refusal(&request.id);
+            stream.write_all(&refusal).await?;
+            copy = Some(refusal);
+            continue;
         }
-        let answer = whole_answer(&request.id);
+        let answer = whole_answer(&request.id, run);
         let head_end = answer.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
         match request.fault.as_str() {
             "copy" if request.millis == 0 => {
@@ -64,12 +78,11 @@
             }
             "later" => {
                 stream.write_all(&answer).await?;
-                copy = Some((answer, 0));
+                copy = Some(answer);
             }
-            "shed" => {
-                let refusal = refusal(&request.id);
-                stream.write_all(&refusal).await?;
-                copy = Some((refusal, 0));
+            "work" => {
+                sleep(Duration::from_millis(request.millis)).await;
+                stream.write_all(&answer).await?;
             }
             "cut" => {
                 stream.write_all(&answer[..answer.len() - 3]).await?;
@@ -98,9 +111,22 @@
     Ok(())
 }
 
-fn record_run(observations: &Mutex<Observations>, id: &str) {
+/// Counts the start of a run and returns its number, from 1.
+fn record_run(observations: &Mutex<Observations>, id: &str) -> u32 {
     let mut observations = observations.lock().unwrap();
-    *observations.runs.entry(id.to_owned()).or_default() += 1;
+    increment(&mut observations.runs, id)
+}
+
+/// Counts a request as it arrives and returns its number, from 1.
+fn count_offer(observations: &Mutex<Observations>, id: &str) -> u32 {
+    let mut observations = observations.lock().unwrap();
+    increment(&mut observations.offers, id)
+}
+
+fn increment(counts: &mut HashMap<String, u32>, id: &str) -> u32 {
+    let count = counts.entry(id.to_owned()).or_default();
+    *count += 1;
+    *count
 }
 
 /// Writes text again and again until the connection is closed.
@@ -127,8 +153,8 @@
     head.into_bytes()
 }
 
-fn whole_answer(id: &str) -> Vec<u8> {
-    let body = format!("{id} by faulty");
+fn whole_answer(id: &str, run: u32) -> Vec<u8> {
+    let body = format!("{id} by faulty, run {run}");
     let head = head_of(id, &format!("content-length: {}", body.len()));
     [head.into_bytes(), body.into_bytes()].concat()
 }
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -341,6 +341,7 @@
                 "header-timeout-s": 3, "idle-timeout-s": 15},
             "virtual-hosts": [{"host": "x.example", "paths": [
                 route("read", "/read/", "idempotent", "keyed"),
+                route("charge", "/charge/", "non_idempotent", "keyed"),
                 route("book", "/book/", "non_idempotent", "plain")]}]
         })
         .to_string();
@@ -446,15 +447,15 @@
         took
     }
 
-    /// Fails the test if an invariant was violated or a booking ran twice, and
-    /// prints the logs.
+    /// Fails the test if an invariant was violated or a booking or charge ran
+    /// twice, and prints the logs.
     pub fn check(&self) {
         let observations = self.observations.lock().unwrap();
         let mut violations = observations.violations.clone();
         let twice = observations
             .runs
             .iter()
-            .filter(|(id, runs)| id.starts_with("book") && **runs > 1);
+            .filter(|(id, runs)| !id.starts_with("read") && !id.starts_with("probe") && **runs > 1);
         violations.extend(twice.map(|(id, runs)| format!("{id} ran {runs} times")));
         if !violations.is_empty() {
             for host in &self.hosts {
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -61,6 +61,9 @@
 pub struct Observations {
     /// The number of times that each request started to run, by request id.
     pub runs: HashMap<String, u32>,
+    /// The number of times that a request arrived that asks a faulty server to
+    /// refuse the first one, by request id.
+    pub offers: HashMap<String, u32>,
     /// Descriptions of violated invariants.
     pub violations: Vec<String>,
     /// The latest holder of each sampled key.
