Send two attempts of a request on different connections

Callers got 502 for a charge that had run, or it ran twice: a target that sends its refusal twice refuses the first offer, and the second copy comes when the second offer has been written on the same connection. Both have the id of the request, so the copy was taken for the refusal of the second offer, which ran; the third one ran, too.

The id tells a copy from a response only if no two requests on a connection share it. A connection now remembers the ids of its requests for 20 s, and a request goes to one that has not carried its id. A refusal without an id is accepted as the first response of a connection only, where it cannot be a copy.

--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -102,8 +102,13 @@
     for number in 0..10 {
         let id = format!("charge-busy-{number}");
         let (status, text) = fleet.request(1, "charge", &id, 0).await;
-        assert_eq!(status, StatusCode::OK, "{text}");
+        assert_eq!(status, StatusCode::OK, "{number}: {text}");
         assert_eq!(text, format!("{id} by faulty, run 1"));
+        // Two reads at once use both connections and meet the copy, which would
+        // cost the next charge its answer.
+        let reads = [0, 1].map(|read| format!("read-work-20-{number}-{read}"));
+        let [a, b] = reads.each_ref().map(|id| fleet.request(1, "read", id, 0));
+        tokio::join!(a, b);
     }
     fleet.check();
 }
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -11,6 +11,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
+    marker::PhantomData,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -26,7 +27,7 @@
 
 use super::{
     Host,
-    target::{Client, Failure, Reuse},
+    target::{Client, Failure, Match, Reuse},
 };
 use crate::{
     Dialect,
@@ -447,8 +448,8 @@
                 } else {
                     Reuse::Recent
                 };
-                let is_own = |head: &Parts| is_answer_to::<D>(head, &offer.request);
-                let call = self.admission.target.call(request, reuse, is_own);
+                let matching = ById::<D>::new(&offer.request);
+                let call = self.admission.target.call(request, reuse, &matching);
                 match timeout(left + RESPONSE_GRACE, call).await {
                     Ok(result) => result,
                     Err(_) => Err(Failure::Broken(
@@ -550,10 +551,13 @@
                 return (Completion::Shed, outcome);
             }
             Err(Failure::Broken(detail)) => return (Completion::Broken, unknown(detail)),
-            Err(Failure::Foreign) => {
+            Err(Failure::Foreign(earlier)) => {
                 self.metrics.foreign_responses.inc();
-                let detail = "the target sent a response to another request";
-                return (Completion::Broken, unknown(detail.to_owned()));
+                let detail = format!(
+                    "the target sent a response to another request, {earlier} responses \
+                     after it was connected to"
+                );
+                return (Completion::Broken, unknown(detail));
             }
         };
         let (head, body) = response.into_parts();
@@ -593,14 +597,35 @@
     }
 }
 
-/// Whether a response belongs to the request with the given id: it carries that
-/// id, or it carries none and tells that the target did not run the request.
-fn is_answer_to<D: Dialect>(head: &Parts, request: &str) -> bool {
-    match head.headers.get(D::REQUEST_ID) {
-        Some(id) => id.as_bytes() == request.as_bytes(),
-        None => {
-            head.headers.contains_key(D::NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST
+/// Matches responses by the id of the request, which the target repeats.
+struct ById<'a, D> {
+    id: &'a str,
+    dialect: PhantomData<D>,
+}
+
+impl<'a, D> ById<'a, D> {
+    fn new(id: &'a str) -> Self {
+        Self {
+            id,
+            dialect: PhantomData,
+        }
+    }
+}
+
+impl<D: Dialect> Match for ById<'_, D> {
+    fn id(&self) -> &str {
+        self.id
+    }
+
+    /// A response without an id is only accepted if it tells that the target did
+    /// not run the request and cannot be a copy.
+    fn accepts(&self, head: &Parts, is_first: bool) -> bool {
+        if let Some(id) = head.headers.get(D::REQUEST_ID) {
+            return id.as_bytes() == self.id.as_bytes();
         }
+        let says_not_run =
+            head.headers.contains_key(D::NOT_RUN) || head.status == StatusCode::MISDIRECTED_REQUEST;
+        says_not_run && is_first
     }
 }
 
--- a/wisteriaglade-fleet/src/host/grants.rs
+++ b/wisteriaglade-fleet/src/host/grants.rs
@@ -6,7 +6,11 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE, header::HOST};
+use http::{
+    Method, Request, Response, StatusCode,
+    header::{CONTENT_TYPE, HOST},
+    response::Parts,
+};
 use http_body_util::Full;
 use tokio::time::timeout;
 use tracing::{debug, info};
@@ -15,7 +19,7 @@
 
 use super::{
     Host,
-    target::{Failure, Reuse},
+    target::{Failure, Match, Reuse},
 };
 use crate::{Dialect, lock, metrics::GrantCallLabels};
 
@@ -65,7 +69,7 @@
                     Call::Grant { .. } => Reuse::WhileConnected,
                     Call::Release { .. } => Reuse::Never,
                 };
-                let sending = self.grant_client.call(request, reuse, |_| true);
+                let sending = self.grant_client.call(request, reuse, &WithoutId);
                 timeout(call.timeout(), sending).await.unwrap_or_else(|_| {
                     let detail = "the target did not respond in time";
                     Err(Failure::Broken(detail.to_owned()))
@@ -130,6 +134,19 @@
     }
 }
 
+/// Accepts any response: calls have no id that the target would repeat.
+struct WithoutId;
+
+impl Match for WithoutId {
+    fn id(&self) -> &'static str {
+        ""
+    }
+
+    fn accepts(&self, _: &Parts, _: bool) -> bool {
+        true
+    }
+}
+
 /// Builds the HTTP request of a call. Returns `None` if a header is invalid.
 fn build_request<D: Dialect>(
     call: &Call,
@@ -152,7 +169,7 @@
     let response = match result {
         Ok(response) => response,
         Err(Failure::Unsent(_)) => return mesh::Response::Rejected,
-        Err(Failure::Broken(_) | Failure::Foreign) => return mesh::Response::Unknown,
+        Err(Failure::Broken(_) | Failure::Foreign(_)) => return mesh::Response::Unknown,
     };
     let handover = response.headers().get(D::HANDOVER);
     match response.status() {
--- a/wisteriaglade-fleet/src/host/target.rs
+++ b/wisteriaglade-fleet/src/host/target.rs
@@ -4,6 +4,7 @@
 //! request may have run, on which a repeat depends.
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -24,6 +25,7 @@
     time::{Instant, timeout},
 };
 use tracing::debug;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::lock;
 
@@ -39,6 +41,10 @@
 /// How long a connection may be idle before it is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// How long a connection remembers the ids of its requests. It exceeds the time in
+/// which a request is sent again.
+const ID_RETENTION: Duration = Duration::from_secs(20);
+
 /// The highest number of idle connections.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
@@ -56,9 +62,10 @@
     Unsent(&'static str),
     /// The request was sent, and the target may have run it.
     Broken(String),
-    /// The request was sent, and a response to another request came back. The
-    /// target may have run it.
-    Foreign,
+    /// The request was sent, and a response came back that may be that to another
+    /// request. The target may have run it. Holds the number of responses that the
+    /// connection had delivered before.
+    Foreign(u32),
 }
 
 /// Which idle connections a request may use.
@@ -76,6 +83,21 @@
     Never,
 }
 
+/// How a response is matched to its request.
+///
+/// A target may send a copy of an earlier response late, when the connection is in
+/// use again. The copy has the id of its own request, so an id tells the two apart
+/// unless both requests have the same one, as two attempts of a request do.
+pub(super) trait Match {
+    /// The id of the request, which no two attempts on one connection share. Empty
+    /// if responses carry no id.
+    fn id(&self) -> &str;
+
+    /// Whether a response belongs to the request. `is_first` tells that the
+    /// connection has delivered no response before, so that it cannot be a copy.
+    fn accepts(&self, head: &Parts, is_first: bool) -> bool;
+}
+
 /// An HTTP/1 connection to the target.
 #[derive(Debug)]
 struct Connection {
@@ -84,6 +106,32 @@
     driver: JoinHandle<()>,
     /// When its last response was complete, or when it was opened.
     last_used: Instant,
+    /// The number of responses that it has delivered.
+    responses: u32,
+    /// Hashes of the ids of its requests, oldest first, and when each was sent.
+    ids: VecDeque<(Instant, u64)>,
+}
+
+impl Connection {
+    /// Whether a request with this id was sent on the connection. A late response
+    /// to it could not be told from the response to another attempt.
+    fn has_carried(&self, id: &str) -> bool {
+        let hash = xxh3_64(id.as_bytes());
+        !id.is_empty() && self.ids.iter().any(|(_, known)| *known == hash)
+    }
+
+    /// Remembers the id of a request for [`ID_RETENTION`].
+    fn record_id(&mut self, id: &str) {
+        let now = Instant::now();
+        while let Some((sent, _)) = self.ids.front()
+            && now.duration_since(*sent) > ID_RETENTION
+        {
+            self.ids.pop_front();
+        }
+        if !id.is_empty() {
+            self.ids.push_back((now, xxh3_64(id.as_bytes())));
+        }
+    }
 }
 
 impl Drop for Connection {
@@ -118,9 +166,8 @@
     /// Sends a request and reads the whole response. Dropping the future closes
     /// the connection.
     ///
-    /// `reuse` tells which idle connections may be used, and `is_own` whether the
-    /// head of a response belongs to the request: a target may send a copy of an
-    /// earlier response late, when the connection is in use again.
+    /// `reuse` tells which idle connections may be used, and `matching` which
+    /// response belongs to the request.
     ///
     /// # Errors
     ///
@@ -130,14 +177,15 @@
         &self,
         request: Request<Full<Bytes>>,
         reuse: Reuse,
-        is_own: impl Fn(&Parts) -> bool,
+        matching: &impl Match,
     ) -> Result<Response<Bytes>, Failure> {
         let mut request = request;
-        if let Some(mut connection) = self.take_idle(reuse) {
+        if let Some(mut connection) = self.take_idle(reuse, matching.id()) {
+            connection.record_id(matching.id());
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     return self
-                        .read_response(connection, response, reuse, is_own)
+                        .read_response(connection, response, reuse, matching)
                         .await;
                 }
                 Err(mut error) => match error.take_message() {
@@ -151,9 +199,10 @@
             return Err(Failure::Unsent("the connections to the target have ended"));
         }
         let mut connection = self.connect(reuse).await?;
+        connection.record_id(matching.id());
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
-                self.read_response(connection, response, reuse, is_own)
+                self.read_response(connection, response, reuse, matching)
                     .await
             }
             Err(mut error) => match error.take_message() {
@@ -178,20 +227,19 @@
     }
 
     /// Takes an idle connection that is fit for the request, the last used first.
-    fn take_idle(&self, reuse: Reuse) -> Option<Connection> {
+    fn take_idle(&self, reuse: Reuse, id: &str) -> Option<Connection> {
         let limit = match reuse {
             Reuse::Never => return None,
             Reuse::Recent => ONCE_IDLE_TIMEOUT,
             Reuse::Any | Reuse::WhileConnected => IDLE_TIMEOUT,
         };
         let mut idle = lock(&self.idle);
-        while let Some(connection) = idle.pop() {
-            let age = connection.last_used.elapsed();
-            if age < limit && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        let position = idle.iter().rposition(|connection| {
+            connection.last_used.elapsed() < limit
+                && connection.sender.is_ready()
+                && !connection.has_carried(id)
+        })?;
+        Some(idle.remove(position))
     }
 
     async fn connect(&self, reuse: Reuse) -> Result<Connection, Failure> {
@@ -219,6 +267,8 @@
             sender,
             driver,
             last_used: Instant::now(),
+            responses: 0,
+            ids: VecDeque::new(),
         })
     }
 
@@ -229,11 +279,11 @@
         mut connection: Connection,
         response: Response<Incoming>,
         reuse: Reuse,
-        is_own: impl Fn(&Parts) -> bool,
+        matching: &impl Match,
     ) -> Result<Response<Bytes>, Failure> {
         let (head, body) = response.into_parts();
-        if !is_own(&head) {
-            return Err(Failure::Foreign);
+        if !matching.accepts(&head, connection.responses == 0) {
+            return Err(Failure::Foreign(connection.responses));
         }
         let body = self.read_body(body).await?;
         let closes = head
@@ -242,6 +292,7 @@
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
         if !closes && reuse != Reuse::Never {
             connection.last_used = Instant::now();
+            connection.responses = connection.responses.saturating_add(1);
             let mut idle = lock(&self.idle);
             if idle.len() < MAX_IDLE_CONNECTIONS {
                 idle.push(connection);
