Believe a refused grant only where it cannot be a copy

Responses to grants of key ranges carry no id. The second copy of a refusal (409, 400 or "not run") was taken for the response to the next grant on the same connection. The issuer counted that range as free while its target held it, so another target could get it.

A refusal is now accepted only as the first response of a connection. Otherwise the connection is closed and the outcome unknown, which the issuer's bounds cover, and the call that follows gets a true response. Renewals that succeed still share a connection (second test). Both tests fail without the rule and pass with it.

--- a/wisteriaglade-fleet/src/host/grants.rs
+++ b/wisteriaglade-fleet/src/host/grants.rs
@@ -23,6 +23,9 @@
 };
 use crate::{Dialect, lock, metrics::GrantCallLabels};
 
+#[cfg(test)]
+mod tests;
+
 /// The longest pause between two checks for calls that are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -134,7 +137,7 @@
     }
 }
 
-/// Accepts any response: calls have no id that the target would repeat.
+/// Matches responses to calls, which have no id that the target would repeat.
 struct WithoutId;
 
 impl Match for WithoutId {
@@ -142,8 +145,11 @@
         ""
     }
 
-    fn accepts(&self, _: &Parts, _: bool) -> bool {
-        true
+    /// A copy of an earlier success only lets a range count as held that may not
+    /// be. A copy of a refusal would let it count as free although the target
+    /// holds it, so a refusal is accepted only where it cannot be a copy.
+    fn accepts(&self, head: &Parts, is_first: bool) -> bool {
+        is_first || head.status.is_success()
     }
 }
 
