Test how long a connection remembers ids, and refusals without an id

Each has a test now. The ids are recorded when the response is complete, so that the time counts from then.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,6 +12,7 @@
 pub mod target;
 
 pub mod calls;
+pub mod chaos;
 pub mod check;
 pub mod cluster;
 pub mod faulty;
--- a/wisteriaglade-fleet/src/host/target.rs
+++ b/wisteriaglade-fleet/src/host/target.rs
@@ -29,6 +29,9 @@
 
 use crate::lock;
 
+#[cfg(test)]
+mod tests;
+
 /// How long it may take to connect to the target, which runs on the same
 /// host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -41,8 +44,8 @@
 /// How long a connection may be idle before it is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// How long a connection remembers the ids of its requests. It exceeds the time in
-/// which a request is sent again.
+/// How long a connection remembers the id of a request after its response. A
+/// request that was refused or whose outcome was lost is sent again within less.
 const ID_RETENTION: Duration = Duration::from_secs(20);
 
 /// The highest number of idle connections.
@@ -108,7 +111,8 @@
     last_used: Instant,
     /// The number of responses that it has delivered.
     responses: u32,
-    /// Hashes of the ids of its requests, oldest first, and when each was sent.
+    /// Hashes of the ids of its requests, oldest first, and when the response to
+    /// each was complete.
     ids: VecDeque<(Instant, u64)>,
 }
 
@@ -120,11 +124,13 @@
         !id.is_empty() && self.ids.iter().any(|(_, known)| *known == hash)
     }
 
-    /// Remembers the id of a request for [`ID_RETENTION`].
-    fn record_id(&mut self, id: &str) {
+    /// Records that a response is complete, with the id of its request.
+    fn record_response(&mut self, id: &str) {
         let now = Instant::now();
-        while let Some((sent, _)) = self.ids.front()
-            && now.duration_since(*sent) > ID_RETENTION
+        self.last_used = now;
+        self.responses = self.responses.saturating_add(1);
+        while let Some((at, _)) = self.ids.front()
+            && now.duration_since(*at) > ID_RETENTION
         {
             self.ids.pop_front();
         }
@@ -134,14 +140,6 @@
     }
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        // Closes the connection, which tells the target that the request was
-        // cancelled.
-        self.driver.abort();
-    }
-}
-
 /// The HTTP client for the target, with its idle connections.
 #[derive(Debug)]
 pub(super) struct Client {
@@ -181,7 +179,6 @@
     ) -> Result<Response<Bytes>, Failure> {
         let mut request = request;
         if let Some(mut connection) = self.take_idle(reuse, matching.id()) {
-            connection.record_id(matching.id());
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     return self
@@ -199,7 +196,6 @@
             return Err(Failure::Unsent("the connections to the target have ended"));
         }
         let mut connection = self.connect(reuse).await?;
-        connection.record_id(matching.id());
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 self.read_response(connection, response, reuse, matching)
@@ -291,8 +287,7 @@
             .get(http::header::CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
         if !closes && reuse != Reuse::Never {
-            connection.last_used = Instant::now();
-            connection.responses = connection.responses.saturating_add(1);
+            connection.record_response(matching.id());
             let mut idle = lock(&self.idle);
             if idle.len() < MAX_IDLE_CONNECTIONS {
                 idle.push(connection);
