Keep the outcome of a request until after its deadline

A request that may run only once could run twice: its outcome was kept for 20 s after its end, but a sender that was disconnected offers the request again until its deadline, which a rule may set to ten minutes. Shown in review with a real process and frames written by hand: the same offer after 21 s ran again (runs 2).

The outcome is now kept for 20 s after the end or the deadline, whichever is later. The case with a deadline of 60 s fails with the former retention and passes; 8 of 8 tests of the package pass. Outcomes take more memory only for rules with deadlines beyond some seconds.

--- a/wisteriaglade-fleet/src/host.rs
+++ b/wisteriaglade-fleet/src/host.rs
@@ -17,6 +17,7 @@
 mod grants;
 mod heartbeats;
 mod ingress;
+mod outcomes;
 mod peers;
 mod ready;
 mod target;
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -10,7 +10,7 @@
 //! [`OfferId`] and returns the stored outcome if the request has already ended.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::HashMap,
     marker::PhantomData,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -27,6 +27,7 @@
 
 use super::{
     Host,
+    outcomes::Outcomes,
     target::{Client, Failure, Match, Reuse},
 };
 use crate::{
@@ -37,11 +38,6 @@
     metrics::RejectionLabels,
 };
 
-/// How long the outcome of a request is kept for a sender that lost its
-/// connection and offers the request again. It exceeds the time that any sender
-/// waits for a new connection.
-const OUTCOME_RETENTION: Duration = Duration::from_secs(20);
-
 /// The largest response body, in bytes, that is kept for a sender that lost its
 /// connection.
 const MAX_KEPT_BODY_BYTES: usize = 64 * 1024;
@@ -72,7 +68,7 @@
 }
 
 /// Identifies an offered request across all senders.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct OfferId {
     /// The peer address of the sending host.
     pub(super) host: SocketAddr,
@@ -101,13 +97,6 @@
     task: Option<AbortHandle>,
 }
 
-/// A request that has ended. Its outcome is dropped after [`OUTCOME_RETENTION`].
-#[derive(Debug)]
-struct Finished {
-    offer_id: OfferId,
-    at: Duration,
-}
-
 /// The requests that wait or run at the host's own target.
 #[derive(Debug)]
 pub(super) struct Admission {
@@ -124,11 +113,8 @@
     /// The queue ids of the requests in `jobs`.
     job_ids: HashMap<OfferId, u64>,
     next_id: u64,
-    /// The requests in `outcomes`, oldest first.
-    finished: VecDeque<Finished>,
-    /// The outcome of each request that ended recently; `None` if it was
-    /// cancelled or its answer was not kept.
-    outcomes: HashMap<OfferId, Option<Outcome>>,
+    /// The requests that ended recently.
+    outcomes: Outcomes,
     /// Tasks that wait for the content of their request.
     fetches: HashMap<OfferId, oneshot::Sender<Content>>,
 }
@@ -142,8 +128,7 @@
                 jobs: HashMap::new(),
                 job_ids: HashMap::new(),
                 next_id: 0,
-                finished: VecDeque::new(),
-                outcomes: HashMap::new(),
+                outcomes: Outcomes::default(),
                 fetches: HashMap::new(),
             }),
         }
@@ -185,8 +170,7 @@
 }
 
 impl Inner {
-    /// Removes a request and stores its outcome for repeated offers; drops
-    /// outcomes that are too old. An answer is not stored if its body is large or
+    /// Removes a request and stores its outcome for repeated offers. An answer is not stored if its body is large or
     /// the request may run again.
     fn remove_job(&mut self, id: u64, now: Duration, outcome: Option<&Outcome>) -> Option<Job> {
         let job = self.jobs.remove(&id)?;
@@ -198,20 +182,8 @@
             }
             _ => true,
         });
-        self.finished.push_back(Finished {
-            offer_id: job.offer_id,
-            at: now,
-        });
-        self.outcomes.insert(job.offer_id, kept.cloned());
-        while self
-            .finished
-            .front()
-            .is_some_and(|finished| now.saturating_sub(finished.at) > OUTCOME_RETENTION)
-        {
-            if let Some(finished) = self.finished.pop_front() {
-                self.outcomes.remove(&finished.offer_id);
-            }
-        }
+        self.outcomes
+            .insert(now, job.offer_id, job.deadline, kept.cloned());
         Some(job)
     }
 }
