--- a/wisteriaglade-fleet/src/host/target.rs
+++ b/wisteriaglade-fleet/src/host/target.rs
@@ -140,6 +140,14 @@
     }
 }
 
+impl Drop for Connection {
+    fn drop(&mut self) {
+        // Closes the connection, which tells the target that the request was
+        // cancelled.
+        self.driver.abort();
+    }
+}
+
 /// The HTTP client for the target, with its idle connections.
 #[derive(Debug)]
 pub(super) struct Client {
--- a/wisteriaglade-fleet/src/host/target/tests.rs
+++ b/wisteriaglade-fleet/src/host/target/tests.rs
@@ -1,6 +1,6 @@
-//! Tests of which connection a request uses.
+//! Tests of which connection a request uses, and when it is closed.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, response::Parts};
@@ -8,10 +8,17 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpListener,
+    time::timeout,
 };
 
 use super::{Client, Match, Reuse};
 
+/// The time after which a call without a response is dropped.
+const CALL_TIME: Duration = Duration::from_millis(100);
+
+/// The bound for the target to see that its connection was closed.
+const CLOSE_BOUND: Duration = Duration::from_millis(500);
+
 /// Accepts every response to a request with this id.
 struct Attempt<'a>(&'a str);
 
@@ -75,3 +82,26 @@
 
     assert_eq!(connections, ["1", "1"]);
 }
+
+/// Guards against a target that goes on working for a caller who has left: a call
+/// that is dropped closes its connection.
+#[tokio::test]
+async fn a_dropped_call_closes_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = Client::new(listener.local_addr().unwrap());
+    let mut buffer = [0; 1024];
+
+    let (target, call) = tokio::join!(
+        async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert!(stream.read(&mut buffer).await.unwrap() > 0);
+            // The end of the connection; a reset is one, too.
+            let end = timeout(CLOSE_BOUND, stream.read(&mut buffer)).await;
+            end.map(|end| end.unwrap_or(0))
+        },
+        timeout(CALL_TIME, send(&client, "a")),
+    );
+
+    assert!(call.is_err());
+    assert_eq!(target, Ok(0));
+}
