Apply an early leave message to its own process only

A leave message that came before the first heartbeat was kept by the target's id alone. When a host process had been replaced, the late message of a target's former process took the next process under that id out of use for its whole life. The start of the process is compared now where the message holds it.

--- a/wisteriaglade-fleet/src/host/tracker.rs
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -16,6 +16,9 @@
 use super::LEASE;
 use crate::{Settings, dialect::Heartbeat, settings::GrantChannel};
 
+#[cfg(test)]
+mod tests;
+
 /// The time without a heartbeat after which a target counts as silent, in
 /// heartbeat intervals.
 const SILENCE_INTERVALS: f64 = 2.6;
@@ -63,9 +66,27 @@
     /// The longest hold that a grant may give.
     hold_max: Duration,
     key_rates: KeyRates,
-    /// A target that announced that it leaves before its first heartbeat arrived,
-    /// and when.
-    early_leave: Option<(Name, Duration)>,
+    /// An announcement that a target leaves, which came before its first heartbeat.
+    early_leave: Option<EarlyLeave>,
+}
+
+/// An announcement that a target leaves, of which no heartbeat has come yet.
+#[derive(Debug)]
+struct EarlyLeave {
+    target: Name,
+    /// The start of the target's process, if the message holds it.
+    born: Option<u64>,
+    at: Duration,
+}
+
+impl EarlyLeave {
+    /// Whether the announcement is that of a process of which a heartbeat arrives
+    /// at `now`.
+    fn is_of(&self, owner: &Owner, now: Duration) -> bool {
+        self.target == owner.target
+            && self.born.is_none_or(|born| born == owner.started_ms)
+            && now.saturating_sub(self.at) < LEAVE_TIMEOUT
+    }
 }
 
 /// The state of a target, from its last heartbeat.
@@ -228,9 +249,10 @@
         state.last_heartbeat = now;
         state.slots = heartbeat.slots;
         state.pool = heartbeat.pool.clone();
-        let has_left = self.early_leave.as_ref().is_some_and(|(target, at)| {
-            *target == owner.target && now.saturating_sub(*at) < LEAVE_TIMEOUT
-        });
+        let has_left = self
+            .early_leave
+            .as_ref()
+            .is_some_and(|leave| leave.is_of(&owner, now));
         let is_draining = heartbeat.draining || state.draining_since.is_some() || has_left;
         let condition = if is_draining {
             Condition::Draining
@@ -272,7 +294,11 @@
             // Heartbeats of this target may still arrive and must not make it
             // ready again.
             info!(event = "target-leaves", target = %target, known = false);
-            self.early_leave = Some((target.clone(), now));
+            self.early_leave = Some(EarlyLeave {
+                target: target.clone(),
+                born,
+                at: now,
+            });
             return false;
         };
         if born.is_some_and(|born| born != state.owner.started_ms) {
