Fence no node because the leader heard none for a while

Callers saw 503 "not-run" (stale) from a node that ran, and a node was granted its shards twice (wisteriaglade_shards_granted_total 512 instead of 256): the leader had fenced it, and the process had joined again under a new id.

A leader that hears no renewals, as its host or runtime is paused, must not fence the nodes; the planner therefore fenced none while more than half of them were silent for longer than 350 ms. Renewals are spread over 150 ms, so the nodes do not reach 350 ms together, and the first one was fenced before the others counted as silent. The same happened to the last ones when the nodes were heard again. Traces of tests/path.rs beside four busy processes and four writers that sync, with each renewal logged:

- leader hears nodes 5, 4, 3 at .42378, .42602, .42605; nothing afterwards, as the test process stalls in the burst of calls to the record holders after the grant; fences node 5 at .77550, when 4 and 3 were silent for 349.5 ms
- nodes 6, 2, 8 last heard at 21.9758, 22.0090, 22.0326; 2 heard again at 22.332206, 6 fenced at 22.332219, renewal of 6 arrives at 22.333355

Nodes now count as overdue from 200 ms (suspect less one renewal interval), so that all that fell silent together count, and after a time in which more than half were overdue the silence of each counts from its end. A node silent for 3 s is fenced as before, and a lost node while the others are heard after 350 ms as before. When both come together the fence is at most 350 ms later.

The cases of a_leader_that_heard_no_node_fences_none (5) fail without the change.

--- a/wisteriaglade-control/src/planner/config.rs
+++ b/wisteriaglade-control/src/planner/config.rs
@@ -5,6 +5,8 @@
 /// Settings of the planner.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Config {
+    /// The time between two renewals of a node.
+    pub renew: Duration,
     /// The time without a renewal after which a node is fenced.
     pub suspect: Duration,
     /// The time without a renewal after which a node is fenced even when more
@@ -63,6 +65,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
+            renew: Duration::from_millis(150),
             suspect: Duration::from_millis(350),
             silence: Duration::from_secs(3),
             lease: Duration::from_millis(400),
--- a/wisteriaglade-control/src/planner/liveness.rs
+++ b/wisteriaglade-control/src/planner/liveness.rs
@@ -11,6 +11,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Liveness {
     renewals: BTreeMap<Node, Renewal>,
+    /// The last time at which renewals of more than half of all nodes were
+    /// overdue, so that this replica probably could not hear them.
+    cut_off_at: Option<Duration>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -34,16 +37,24 @@
 
     /// Returns the nodes to fence.
     ///
-    /// When more than half of all nodes are silent at once, this replica has
-    /// more likely been cut off or paused itself. Only nodes that have been
-    /// silent for `Config::silence` are then returned.
+    /// When renewals of more than half of all nodes are overdue at once, this
+    /// replica has more likely been cut off or paused itself. The silence of
+    /// each node then counts only from the end of that time, as the nodes are
+    /// heard again one after the other. A node that has been silent for
+    /// `Config::silence` in all is returned in any case.
     pub(crate) fn silent_nodes(
         &mut self,
         now: Duration,
         config: &Config,
         state: &State,
     ) -> Vec<Node> {
+        // The renewals of the nodes are spread over one interval. Nodes that
+        // fell silent together therefore reach `suspect` within one interval,
+        // and are counted together from the time at which the first can reach
+        // it.
+        let overdue_after = config.suspect.saturating_sub(config.renew);
         let mut live = 0;
+        let mut overdue = 0;
         let mut silent = Vec::new();
         for process in state.nodes().filter(|process| !process.is_fenced()) {
             live += 1;
@@ -53,14 +64,21 @@
             };
             let renewal = self.renewals.entry(process.node()).or_insert(first);
             let silence = now.saturating_sub(renewal.at);
-            if silence > timeout(config, process, renewal.arrived) {
-                silent.push((process.node(), silence));
+            overdue += usize::from(silence > overdue_after);
+            let timeout = timeout(config, process, renewal.arrived);
+            if silence > timeout {
+                silent.push((process.node(), silence, timeout));
             }
         }
-        if silent.len() * 2 > live {
-            silent.retain(|(_, silence)| *silence >= config.silence);
+        if overdue * 2 > live {
+            self.cut_off_at = Some(now);
         }
-        silent.into_iter().map(|(node, _)| node).collect()
+        let cut_off_at = self.cut_off_at;
+        silent.retain(|&(_, silence, timeout)| {
+            let heard = cut_off_at.is_none_or(|at| now.saturating_sub(at) > timeout);
+            heard || silence >= config.silence
+        });
+        silent.into_iter().map(|(node, ..)| node).collect()
     }
 
     /// Returns whether a node has been silent for longer than
--- a/wisteriaglade-control/tests/loss.rs
+++ b/wisteriaglade-control/tests/loss.rs
@@ -120,6 +120,57 @@
     assert_eq!(driver.effect_times(is_fence).len(), fenced);
 }
 
+/// Guards against a leader that, after it heard no node at all for a while,
+/// fences the nodes whose renewals were due first, or those whose renewals
+/// arrive last when it hears the nodes again.
+#[rstest]
+#[case::for_three_renewals(&[0, 10, 20], 400)]
+#[case::with_renewals_spread_over_their_interval(&[0, 50, 100], 400)]
+#[case::with_two_renewals_at_the_end_of_the_interval(&[0, 130, 140], 400)]
+#[case::with_many_nodes(&[0, 10, 30, 50, 70, 90, 110, 140], 500)]
+#[case::for_two_seconds(&[0, 50, 100], 2_000)]
+fn a_leader_that_heard_no_node_fences_none(#[case] delays: &[u64], #[case] time: u64) {
+    let (mut driver, nodes) = Driver::started(16, &vec![12; delays.len()]);
+    driver.delays = nodes
+        .iter()
+        .copied()
+        .zip(delays.iter().copied().map(ms))
+        .collect();
+    // Starts with each renewal of an interval, as another node is then the
+    // first whose renewal is missed.
+    for start in 0..15 {
+        driver.run(ms(1_000 + 10 * start));
+        driver.silent.extend(&nodes);
+        driver.run(ms(time));
+        driver.silent.clear();
+        driver.run(ms(1_000));
+        assert_eq!(driver.effect_times(is_fence), [], "{start}");
+    }
+}
+
+/// Guards against a leader that, because it heard no node for a while, fences a
+/// node that is lost later than the recovery time allows: 350 ms of silence
+/// count from the time at which it hears the others again.
+#[test]
+fn a_node_lost_while_the_leader_heard_no_node_is_fenced_soon_after() {
+    let (mut driver, nodes) = Driver::started(16, &[12; 4]);
+    driver.run(ms(1_000));
+    driver.silent.extend(&nodes);
+    driver.run(ms(600));
+
+    driver.silent.retain(|node| *node == nodes[0]);
+    let heard = driver.now;
+    driver.run(ms(1_000));
+
+    let fenced = driver.effect_times(is_fence);
+    assert_eq!(fenced.len(), 1);
+    // A renewal interval until the others are heard, the silence, one tick and
+    // the commit.
+    let bound = heard + ms(150 + 350 + 10 + 10);
+    assert!(fenced[0] <= bound, "{fenced:?} {bound:?}");
+    assert!(driver.state().node(nodes[0]).is_none(), "not removed");
+}
+
 /// Guards against a fence before the first renewal: a process learns its id
 /// only when its join has been committed and delivered.
 #[test]
--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -307,6 +307,7 @@
         seed: rand::random(),
         state: control_config(settings),
         planner: planner::Config {
+            renew: settings.timing.renew,
             suspect: settings.timing.suspect,
             lease: settings.timing.lease,
             ..planner::Config::default()
