Match each response of the daemon's target to its request

A target may send a copy of a response late, when its connection is in use again. Callers of the daemon got that copy as their own response, the real one then went to the next caller on the connection, and the copy of a refusal said "not-run" about a request that ran. HTTP matches a response to its request by their order on the connection, and nothing that the node sent to a target let it tell one response from another.

The node now sends an id with each request (wg-request), which the target copies to its response. A response on a connection that is used again is used only with the id of its request; otherwise it is counted (foreign_responses) and logged, its connection is not used again, and the outcome is unknown, so that work is repeated only where its rule allows it. A target that copies no ids gets a new connection for each request: no earlier response can come on it, so its response and its refusal are those of the request.

Alternatives: to use connections of a target without ids again until one delivers an unexpected byte, and to believe a refusal only on a new one. A copy that comes after the next request was written is then still taken for its response, and this was the case that showed. To wait for the own response behind a foreign one would save the outcome of that request; the HTTP library offers no way to read past a response. An announced property in place of the learned one would need another command in the control log.

The stand-ins for targets copy the id.

--- a/examples/measure/target.rs
+++ b/examples/measure/target.rs
@@ -152,6 +152,17 @@
         }
     }
 
+    /// Serves a request and copies its id to the response, by which the node matches
+    /// them.
+    async fn serve_with_id(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let id = request.headers().get("wg-request").cloned();
+        let mut response = self.serve(request).await;
+        if let Some(id) = id {
+            response.headers_mut().insert("wg-request", id);
+        }
+        response
+    }
+
     async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (parts, body) = request.into_parts();
         if self.unresponsive.load(Ordering::Relaxed) {
@@ -306,7 +317,7 @@
     let stop = target.stop.clone();
     let service = service_fn(move |request| {
         let target = Arc::clone(&target);
-        async move { Ok::<_, Infallible>(target.serve(request).await) }
+        async move { Ok::<_, Infallible>(target.serve_with_id(request).await) }
     });
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     tokio::select! {
--- a/examples/support/target.rs
+++ b/examples/support/target.rs
@@ -132,6 +132,17 @@
         let _ = behaviour.wait_for(|now| !now.frozen).await;
     }
 
+    /// Serves a request and copies its id to the response, by which the node matches
+    /// them.
+    async fn serve_with_id(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let id = request.headers().get("wg-request").cloned();
+        let mut response = self.serve(request).await;
+        if let Some(id) = id {
+            response.headers_mut().insert("wg-request", id);
+        }
+        response
+    }
+
     async fn serve(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         self.wait_until_unfrozen().await;
         if self.behaviour.borrow().shed {
@@ -255,7 +266,7 @@
         tokio::spawn(async move {
             let service = service_fn(move |request| {
                 let target = Arc::clone(&target);
-                async move { Ok::<_, Infallible>(target.serve(request).await) }
+                async move { Ok::<_, Infallible>(target.serve_with_id(request).await) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // The connection fails when the caller closes it, which is not an
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -23,8 +23,10 @@
     calls::{Call, Calls, RequestSpec},
     check,
     client::{Answer, Client},
+    faulty,
     process::{self, Process},
     proxy::{Endpoint, Network},
+    server::Observations,
     target::{Config, Target},
     wait_for,
 };
@@ -61,6 +63,9 @@
     pub proxy: bool,
     /// Whether nodes reach their targets through relays.
     pub target_proxy: bool,
+    /// The protocol of the targets, if they are those of [`faulty`], which answer
+    /// as a request asks and record their runs in [`Cluster::observations`].
+    pub faulty: Option<faulty::Protocol>,
     /// The slots of each target.
     pub slots: u32,
     /// The time that a target works on a request by default.
@@ -76,6 +81,7 @@
             fencing: true,
             proxy: false,
             target_proxy: false,
+            faulty: None,
             slots: 12,
             service_time: Duration::from_millis(2),
             extra_settings: "",
@@ -97,6 +103,23 @@
     announcer: JoinHandle<()>,
 }
 
+impl Host {
+    /// Announces a faulty target in place of the host's own one.
+    async fn replace_target(
+        &mut self,
+        protocol: faulty::Protocol,
+        observations: &Arc<std::sync::Mutex<Observations>>,
+    ) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut announcement = self.target.announcement();
+        announcement["address"] = json!(listener.local_addr().unwrap().to_string());
+        let observations = Arc::clone(observations);
+        tokio::spawn(faulty::serve(listener, protocol, observations));
+        self.announcer.abort();
+        self.announcer = tokio::spawn(announce(self.admin, announcement));
+    }
+}
+
 /// A running cluster.
 #[derive(Debug)]
 pub struct Cluster {
@@ -104,6 +127,8 @@
     pub net: Arc<Network>,
     pub calls: Calls,
     pub client: Client,
+    /// The runs at faulty targets, by the token of the request.
+    pub observations: Arc<std::sync::Mutex<Observations>>,
     pub seed: u64,
     options: Options,
     data: TempDir,
@@ -125,15 +150,21 @@
         let data = tempfile::tempdir().unwrap();
         let block = Block::reserve().unwrap();
         let net = Network::new(seed);
+        let observations = Arc::default();
         let mut hosts = Vec::new();
         for number in 0..options.hosts {
-            hosts.push(start_host(number, &block, &options, &net, &data).await);
+            let mut host = start_host(number, &block, &options, &net, &data).await;
+            if let Some(protocol) = options.faulty {
+                host.replace_target(protocol, &observations).await;
+            }
+            hosts.push(host);
         }
         let mut cluster = Self {
             hosts,
             net,
             calls: Calls::default(),
             client: Client::new(),
+            observations,
             seed,
             options,
             data,
--- a/tests/support/faulty.rs
+++ b/tests/support/faulty.rs
@@ -16,23 +16,56 @@
 /// The size of the pieces in which bytes without end are written.
 const PIECE: usize = 64 * 1024;
 
+/// How the server finds the fault that a request asks for, and what its answers
+/// carry.
+#[derive(Debug, Clone, Copy)]
+pub enum Protocol {
+    /// That of the platform. The id of a request names the fault.
+    Platform,
+    /// That of the daemon. The query of a request names the fault, and its token
+    /// is its id. `echo` tells whether answers carry the number that the daemon
+    /// gives to each request.
+    Daemon { echo: bool },
+}
+
 /// A request as the server reads it.
 struct Request {
     id: String,
-    /// The fault that the id of the request asks for, with a time in
-    /// milliseconds where it needs one.
+    /// The header lines that its answer carries.
+    headers: String,
+    /// The line that makes its answer a refusal.
+    not_run: &'static str,
+    /// The fault that the request asks for, with a time in milliseconds where it
+    /// needs one.
     fault: String,
     millis: u64,
+    /// How the end of its answer is marked.
+    framing: Framing,
+}
+
+/// How the end of a body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    Length,
+    Chunks,
+    /// By the end of the connection.
+    Close,
 }
 
-/// Accepts connections until the task is aborted. The id of a request names the
-/// fault, as in `book-copy-50-7`; other requests are answered correctly.
-pub async fn serve(listener: TcpListener, observations: Arc<Mutex<Observations>>) {
+/// Accepts connections until the task is aborted. A request names the fault, as
+/// in `book-copy-50-7` or `book-copy-50-chunks`; other requests are answered
+/// correctly.
+pub async fn serve(
+    listener: TcpListener,
+    protocol: Protocol,
+    observations: Arc<Mutex<Observations>>,
+) {
     loop {
         if let Ok((stream, _)) = listener.accept().await {
             let observations = Arc::clone(&observations);
+            observations.lock().unwrap().connections += 1;
             // An error means that the caller closed the connection.
-            tokio::spawn(async move { answer_all(stream, &observations).await });
+            tokio::spawn(async move { answer_all(stream, protocol, &observations).await });
         }
     }
 }
@@ -40,18 +73,19 @@
 /// Answers the requests of a connection.
 async fn answer_all(
     mut stream: TcpStream,
+    protocol: Protocol,
     observations: &Mutex<Observations>,
 ) -> std::io::Result<()> {
-    let mut copy: Option<(Vec<u8>, u64)> = None;
-    while let Some(request) = read_request(&mut stream).await? {
-        if let Some((answer, 0)) = copy.take() {
+    let mut copy: Option<Vec<u8>> = None;
+    while let Some(request) = read_request(&mut stream, protocol).await? {
+        if let Some(answer) = copy.take() {
             // The copy of the previous answer comes after this request.
             stream.write_all(&answer).await?;
         }
         if request.fault != "shed" {
             record_run(observations, &request.id);
         }
-        let answer = whole_answer(&request.id);
+        let answer = whole_answer(&request);
         let head_end = answer.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
         match request.fault.as_str() {
             "copy" if request.millis == 0 => {
@@ -64,19 +98,24 @@
             }
             "later" => {
                 stream.write_all(&answer).await?;
-                copy = Some((answer, 0));
+                copy = Some(answer);
             }
             "shed" => {
-                let refusal = refusal(&request.id);
+                let refusal = refusal(&request);
                 stream.write_all(&refusal).await?;
-                copy = Some((refusal, 0));
+                copy = Some(refusal);
             }
             "cut" => {
                 stream.write_all(&answer[..answer.len() - 3]).await?;
                 return Ok(());
             }
+            "reset" => {
+                stream.write_all(&answer[..answer.len() - 3]).await?;
+                sleep(Duration::from_millis(request.millis)).await;
+                return stream.set_zero_linger();
+            }
             "chunk" => {
-                let head = head_of(&request.id, "transfer-encoding: chunked");
+                let head = head_of(&request, "transfer-encoding: chunked\r\n");
                 stream.write_all(head.as_bytes()).await?;
                 stream.write_all(b"5\r\nhello\r\n").await?;
                 return Ok(());
@@ -86,7 +125,7 @@
                 write_without_end(&mut stream, b"x-more: more\r\n").await?;
             }
             "body" | "crumbs" => {
-                let head = head_of(&request.id, "transfer-encoding: chunked");
+                let head = head_of(&request, "transfer-encoding: chunked\r\n");
                 stream.write_all(head.as_bytes()).await?;
                 let size = if request.fault == "body" { 8192 } else { 8 };
                 let chunk = format!("{size:x}\r\n{}\r\n", "x".repeat(size));
@@ -94,6 +133,9 @@
             }
             _ => stream.write_all(&answer).await?,
         }
+        if request.framing == Framing::Close {
+            return Ok(());
+        }
     }
     Ok(())
 }
@@ -111,30 +153,38 @@
     }
 }
 
-fn head_of(id: &str, framing: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\nx-wisteriaglade-request-id: {id}\r\n\
-         x-wisteriaglade-response-seal: seal-{id}\r\n{framing}\r\n\r\n"
-    )
+fn head_of(request: &Request, framing: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\n{}{framing}\r\n", request.headers)
 }
 
 /// An answer which says that the request was not run.
-fn refusal(id: &str) -> Vec<u8> {
+fn refusal(request: &Request) -> Vec<u8> {
     let head = format!(
-        "HTTP/1.1 503 Service Unavailable\r\nx-wisteriaglade-request-id: {id}\r\n\
-         x-wisteriaglade-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+        "HTTP/1.1 503 Service Unavailable\r\n{}{}content-length: 0\r\n\r\n",
+        request.headers, request.not_run
     );
     head.into_bytes()
 }
 
-fn whole_answer(id: &str) -> Vec<u8> {
-    let body = format!("{id} by faulty");
-    let head = head_of(id, &format!("content-length: {}", body.len()));
-    [head.into_bytes(), body.into_bytes()].concat()
+fn whole_answer(request: &Request) -> Vec<u8> {
+    let body = format!("{} by faulty", request.id);
+    let length = body.len();
+    let text = match request.framing {
+        Framing::Length => head_of(request, &format!("content-length: {length}\r\n")) + &body,
+        Framing::Chunks => {
+            let head = head_of(request, "transfer-encoding: chunked\r\n");
+            format!("{head}{length:x}\r\n{body}\r\n0\r\n\r\n")
+        }
+        Framing::Close => head_of(request, "") + &body,
+    };
+    text.into_bytes()
 }
 
 /// Reads a request with its body. Returns `None` at the end of the connection.
-async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<Request>> {
+async fn read_request(
+    stream: &mut TcpStream,
+    protocol: Protocol,
+) -> std::io::Result<Option<Request>> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         match stream.read_u8().await {
@@ -143,22 +193,64 @@
         }
     }
     let head = String::from_utf8_lossy(&head).to_lowercase();
-    let value = |name: &str| {
-        let mut lines = head.lines().filter_map(|line| line.split_once(": "));
-        lines
-            .find(|(known, _)| *known == name)
-            .map(|(_, v)| v.to_owned())
-    };
-    let length = value("content-length").and_then(|length| length.parse().ok());
+    let length = header_of(&head, "content-length").and_then(|length| length.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     stream.read_exact(&mut body).await?;
-    let id = value("x-wisteriaglade-request-id").unwrap_or_default();
-    let mut parts = id.split('-').skip(1).map(str::to_owned);
-    let fault = parts.next().unwrap_or_default();
-    let millis = parts.next().and_then(|millis| millis.parse().ok());
-    Ok(Some(Request {
-        id,
-        fault,
-        millis: millis.unwrap_or(0),
-    }))
+    Ok(Some(protocol.parse(&head)))
+}
+
+/// Returns the value of a header, in lower case like the head.
+fn header_of(head: &str, name: &str) -> Option<String> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    lines
+        .find(|(known, _)| *known == name)
+        .map(|(_, value)| value.to_owned())
+}
+
+impl Protocol {
+    /// Parses the head of a request, which is in lower case.
+    fn parse(self, head: &str) -> Request {
+        match self {
+            Self::Platform => {
+                let id = header_of(head, "x-wisteriaglade-request-id").unwrap_or_default();
+                let headers = format!(
+                    "x-wisteriaglade-request-id: {id}\r\n\
+                     x-wisteriaglade-response-seal: seal-{id}\r\n"
+                );
+                let not_run = "x-wisteriaglade-not-executed: 1\r\n";
+                Request::new(id.clone(), &id, headers, not_run)
+            }
+            Self::Daemon { echo } => {
+                let id = header_of(head, "token").unwrap_or_default();
+                let number = header_of(head, "wg-request").filter(|_| echo);
+                let echoed = number.map(|number| format!("wg-request: {number}\r\n"));
+                let headers = format!("token: {id}\r\n{}", echoed.unwrap_or_default());
+                let uri = head.split(' ').nth(1).unwrap_or_default();
+                let (_, query) = uri.split_once('?').unwrap_or_default();
+                Request::new(id, query, headers, "wg-outcome: not-run\r\n")
+            }
+        }
+    }
+}
+
+impl Request {
+    /// Creates a request that asks for the fault named by `wish`.
+    fn new(id: String, wish: &str, headers: String, not_run: &'static str) -> Self {
+        let mut parts = wish.split('-').skip(1);
+        let fault = parts.next().unwrap_or_default().to_owned();
+        let millis = parts.next().and_then(|millis| millis.parse().ok());
+        let framing = match parts.next() {
+            Some("chunks") => Framing::Chunks,
+            Some("close") => Framing::Close,
+            _ => Framing::Length,
+        };
+        Self {
+            id,
+            headers,
+            not_run,
+            fault,
+            millis: millis.unwrap_or(0),
+            framing,
+        }
+    }
 }
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -61,6 +61,8 @@
 pub struct Observations {
     /// The number of times that each request started to run, by request id.
     pub runs: HashMap<String, u32>,
+    /// The number of connections that a faulty server accepted.
+    pub connections: u32,
     /// Descriptions of violated invariants.
     pub violations: Vec<String>,
     /// The latest holder of each sampled key.
@@ -371,7 +373,8 @@
         };
         let accepts = async {
             if servers == Servers::Faulty {
-                faulty::serve(listener, Arc::clone(&server.observations)).await;
+                let observations = Arc::clone(&server.observations);
+                faulty::serve(listener, faulty::Protocol::Platform, observations).await;
                 return;
             }
             loop {
--- a/wisteriaglade-node/src/header.rs
+++ b/wisteriaglade-node/src/header.rs
@@ -12,6 +12,8 @@
 pub(crate) const EPOCH: HeaderName = HeaderName::from_static("wg-epoch");
 /// Set to `true` on a recorded response that is sent for a repeat.
 pub(crate) const REPLAYED: HeaderName = HeaderName::from_static("wg-replayed");
+/// The id of the request; sent to the target, which copies it to its response.
+pub(crate) const REQUEST: HeaderName = HeaderName::from_static("wg-request");
 /// The shard of the key; sent to the target.
 pub(crate) const SHARD: HeaderName = HeaderName::from_static("wg-shard");
 /// The pool of the rule; sent to the target.
@@ -42,7 +44,7 @@
 
 /// Headers that targets trust. They are removed from callers' requests, since
 /// only the router may set them.
-const INTERNAL: [HeaderName; 5] = [EPOCH, SHARD, POOL, MEMBER, OUTCOME];
+const INTERNAL: [HeaderName; 6] = [EPOCH, REQUEST, SHARD, POOL, MEMBER, OUTCOME];
 
 /// Removes the hop-by-hop headers, and those that the `connection` header names.
 pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
--- a/wisteriaglade-node/src/metrics.rs
+++ b/wisteriaglade-node/src/metrics.rs
@@ -36,6 +36,8 @@
     pub(crate) granted: Counter,
     /// Shards that this node lost or handed over.
     pub(crate) given_up: Counter,
+    /// Responses of the target that were not those of their requests.
+    pub(crate) foreign_responses: Counter,
     queued: Family<ClassLabels, Gauge>,
     running: Family<ClassLabels, Gauge>,
     /// Bytes of datagrams in both directions and of received control log entries.
@@ -92,6 +94,7 @@
             members: Members::default(),
             granted: Counter::default(),
             given_up: Counter::default(),
+            foreign_responses: Counter::default(),
             queued: Family::default(),
             running: Family::default(),
             control_bytes: Counter::default(),
@@ -150,6 +153,11 @@
             "Shards that this node lost or handed over",
             self.given_up.clone(),
         );
+        registry.register(
+            "foreign_responses",
+            "Responses of the target that were not those of their requests",
+            self.foreign_responses.clone(),
+        );
         registry.register(
             "queued",
             "Requests that wait at the target, by the class of their work",
--- a/wisteriaglade-node/src/target.rs
+++ b/wisteriaglade-node/src/target.rs
@@ -1,15 +1,28 @@
 //! The HTTP client for this node's target.
+//!
+//! HTTP matches a response to its request by their order on the connection, so a
+//! target that sends a second copy of a response makes it the response of the next
+//! request. A target that copies the id of each request to its response is
+//! therefore reached over connections that are used again, and a response without
+//! the right id is not used. Any other target gets a new connection for each
+//! request, on which no earlier response can come.
 
-use std::{net::SocketAddr, time::Duration};
+mod echo;
+
+use std::{net::SocketAddr, sync::Mutex, time::Duration};
 
 use http::{Request, Response, Uri};
 use hyper::body::Incoming;
 use hyper_util::{
-    client::legacy::{Client as Legacy, connect::HttpConnector},
+    client::legacy::{
+        Client as Legacy,
+        connect::{Connected, HttpConnector, capture_connection},
+    },
     rt::{TokioExecutor, TokioTimer},
 };
 
-use crate::body::Body;
+use self::echo::Echo;
+use crate::{body::Body, header as names, lock};
 
 /// Time after which an idle connection to the target is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
@@ -24,15 +37,20 @@
 const MAX_RECENT_IDLE: Duration = Duration::from_secs(1);
 
 /// An HTTP client with one connection pool for each kind of [`Connection`].
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Client {
     pooled: Legacy<HttpConnector, Body>,
     recent: Legacy<HttpConnector, Body>,
     /// Keeps no idle connections.
     unpooled: Legacy<HttpConnector, Body>,
+    /// The address of the target, if its last response carried the id of the
+    /// request. Only such a target is reached over [`Connection::Pooled`] and
+    /// [`Connection::Recent`].
+    echoing: Mutex<Option<SocketAddr>>,
 }
 
-/// The kind of connection that a request is sent over.
+/// The kind of connection that a request is sent over, if the target copies the
+/// ids of requests. Otherwise each request gets a new one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Connection {
     /// Any idle connection, or a new one.
@@ -51,6 +69,9 @@
     Unsent(String),
     /// The connection failed after the request may have been sent.
     Broken(String),
+    /// The request was sent, and a response came that belongs to no request or to
+    /// another one.
+    Foreign(&'static str),
 }
 
 impl Client {
@@ -76,6 +97,7 @@
             pooled: client(IDLE_TIMEOUT, max_idle),
             recent: client(MAX_RECENT_IDLE, max_idle),
             unpooled: client(IDLE_TIMEOUT, 0),
+            echoing: Mutex::default(),
         }
     }
 
@@ -98,18 +120,46 @@
             .build()
             .map_err(|error| Error::Unsent(error.to_string()))?;
         *request.uri_mut() = uri;
+        let reusable = connection != Connection::Unpooled && self.is_echoing(address);
         let client = match connection {
-            Connection::Pooled => &self.pooled,
-            Connection::Recent => &self.recent,
-            Connection::Unpooled => &self.unpooled,
+            Connection::Pooled if reusable => &self.pooled,
+            Connection::Recent if reusable => &self.recent,
+            _ => &self.unpooled,
         };
-        client.request(request).await.map_err(|error| {
+        let id = request.headers().get(names::REQUEST).cloned();
+        let captured = capture_connection(&mut request);
+        let response = client.request(request).await.map_err(|error| {
             if error.is_connect() || is_unsent(&error) {
                 Error::Unsent(error.to_string())
             } else {
                 Error::Broken(error.to_string())
             }
-        })
+        })?;
+        let echo = Echo::of(response.headers(), id.as_ref());
+        self.record_echo(address, echo);
+        if let Err(error) = echo.verify(reusable) {
+            // The response to this request may still come on the connection.
+            if let Some(connected) = captured.connection_metadata().as_ref() {
+                Connected::poison(connected);
+            }
+            return Err(error);
+        }
+        Ok(response)
+    }
+
+    /// Whether the last response of the target carried the id of its request.
+    fn is_echoing(&self, address: SocketAddr) -> bool {
+        *lock(&self.echoing) == Some(address)
+    }
+
+    /// Records whether a response of the target carried the id of a request.
+    fn record_echo(&self, address: SocketAddr, echo: Echo) {
+        let mut echoing = lock(&self.echoing);
+        match echo {
+            Echo::Own => *echoing = Some(address),
+            Echo::Absent if *echoing == Some(address) => *echoing = None,
+            Echo::Absent | Echo::Other => {}
+        }
     }
 }
 
--- a/wisteriaglade-node/src/work.rs
+++ b/wisteriaglade-node/src/work.rs
@@ -255,6 +255,7 @@
 /// router's own ones.
 fn set_router_headers(context: &Context, grant: &Grant, headers: &mut HeaderMap) {
     names::remove_hop_by_hop(headers);
+    headers.remove(names::REQUEST);
     set_header(headers, names::OUTCOME, Outcome::Done);
     set_header(headers, names::EPOCH, grant.epoch.get());
     let advertised = context.settings.listen.advertise.caller;
--- a/wisteriaglade-node/src/work/dispatch.rs
+++ b/wisteriaglade-node/src/work/dispatch.rs
@@ -1,11 +1,12 @@
 //! Sends an admitted request to the target, and a second time if the connection
 //! stays silent.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use http::{HeaderMap, Request as HttpRequest, Response, header};
 use hyper::body::Incoming;
 use tokio::time::{sleep, sleep_until};
+use tracing::warn;
 use wisteriaglade_router::{Class, Finish};
 use wisteriaglade_rules::Execution;
 use wisteriaglade_types::Outcome;
@@ -69,6 +70,9 @@
         match error {
             target::Error::Unsent(detail) => Refusal::not_run(Reason::TargetUnreachable, detail),
             target::Error::Broken(detail) => Refusal::unknown(Reason::ConnectionLost, detail),
+            target::Error::Foreign(detail) => {
+                Refusal::unknown(Reason::ConnectionLost, format!("the target sent {detail}"))
+            }
         }
     })?;
     if let Some(refusal) = shed_refusal(response.headers()) {
@@ -94,7 +98,6 @@
     class: Class,
     deadline: Duration,
 ) -> Result<Response<Incoming>, target::Error> {
-    let (client, address) = (&context.client, grant.target);
     let once = grant.rule.execution == Execution::Once;
     let second_request = clone_request(&request);
     let connection = if once {
@@ -102,7 +105,7 @@
     } else {
         Connection::Pooled
     };
-    let first = client.send(connection, address, request);
+    let first = attempt(context, connection, grant.target, request);
     tokio::pin!(first);
     let Some(second_request) = second_request else {
         return first.await;
@@ -111,13 +114,15 @@
     tokio::select! {
         outcome = &mut first => {
             return match outcome {
-                Err(target::Error::Unsent(_)) => client.send(Connection::Unpooled, address, second_request).await,
+                Err(target::Error::Unsent(_)) => {
+                    attempt(context, Connection::Unpooled, grant.target, second_request).await
+                }
                 outcome => outcome,
             };
         }
         () = sleep(silence_timeout(context, deadline)), if repeat => {}
     }
-    let second = client.send(Connection::Unpooled, address, second_request);
+    let second = attempt(context, Connection::Unpooled, grant.target, second_request);
     tokio::pin!(second);
     tokio::select! {
         outcome = &mut first => match outcome {
@@ -131,6 +136,21 @@
     }
 }
 
+/// Sends the request once. A response that is not its own is logged and counted.
+async fn attempt(
+    context: &Context,
+    connection: Connection,
+    address: SocketAddr,
+    request: HttpRequest<Body>,
+) -> Result<Response<Incoming>, target::Error> {
+    let outcome = context.client.send(connection, address, request).await;
+    if let Err(target::Error::Foreign(detail)) = &outcome {
+        context.metrics.foreign_responses.inc();
+        warn!(event = "foreign-response", target = %address, detail);
+    }
+    outcome
+}
+
 /// Returns how long a connection may be silent. Half of the remaining time is
 /// reserved for the second attempt.
 fn silence_timeout(context: &Context, deadline: Duration) -> Duration {
@@ -153,8 +173,8 @@
     Some(clone)
 }
 
-/// Builds the request for the target, with the headers for the epoch, the
-/// shard, the pool, the member and the remaining time in milliseconds. Refuses
+/// Builds the request for the target, with the headers for the epoch, the id of
+/// the request, the shard, the pool, the member and the remaining time in milliseconds. Refuses
 /// it if the deadline has passed.
 fn target_request(
     context: &Context,
@@ -172,6 +192,7 @@
     *request.headers_mut() = std::mem::take(&mut job.headers);
     let headers = request.headers_mut();
     set_header(headers, names::EPOCH, grant.epoch.get());
+    set_header(headers, names::REQUEST, job.request);
     set_header(headers, names::SHARD, grant.shard.get());
     set_header(headers, names::DEADLINE, remaining.as_millis());
     set_header(headers, names::POOL, &grant.rule.pool);
