--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -64,6 +64,8 @@
     /// The number of times that a request arrived that asks a faulty server to
     /// refuse the first one, by request id.
     pub offers: HashMap<String, u32>,
+    /// The number of connections that a faulty server accepted.
+    pub connections: u32,
     /// Descriptions of violated invariants.
     pub violations: Vec<String>,
     /// The latest holder of each sampled key.
@@ -374,7 +376,8 @@
         };
         let accepts = async {
             if servers == Servers::Faulty {
-                faulty::serve(listener, Arc::clone(&server.observations)).await;
+                let observations = Arc::clone(&server.observations);
+                faulty::serve(listener, faulty::Protocol::Platform, observations).await;
                 return;
             }
             loop {
