Let a suspended host of the simulation write nothing

The simulation delivered a call that a suspension held up at the end of that suspension, also when another one had begun meanwhile, or when a shorter one had replaced it. No suspended process writes.

Suspensions now add up to the later end, and calls that are not yet written wait for it.

--- a/wisteriaglade-mesh/tests/one_holder.rs
+++ b/wisteriaglade-mesh/tests/one_holder.rs
@@ -73,6 +73,8 @@
 struct Exchange {
     order: Order,
     sent: Duration,
+    /// When the host writes it, unless the host is suspended until later.
+    written: Duration,
     arrives: Duration,
     /// The life of the target that the connection leads to.
     life: u64,
@@ -100,6 +102,18 @@
     index: u64,
 }
 
+impl Host {
+    /// Suspends the process, which writes nothing until it goes on.
+    fn suspend(&mut self, now: Duration, until: Duration) {
+        self.suspended_until = self.suspended_until.max(until);
+        for exchange in self.exchanges.iter_mut().filter(|call| call.written > now) {
+            let delay = self.suspended_until.saturating_sub(exchange.written);
+            exchange.written += delay;
+            exchange.arrives += delay;
+        }
+    }
+}
+
 struct World {
     random: StdRng,
     now: Duration,
@@ -206,7 +220,10 @@
         let now = self.now;
         let host = self.random.random_range(0..HOSTS);
         match self.random.random_range(0..6) {
-            0 => self.hosts[host].suspended_until = now + self.millis(100..7_000),
+            0 => {
+                let until = now + self.millis(100..7_000);
+                self.hosts[host].suspend(now, until);
+            }
             1 => self.hosts[host].cut_until = now + self.millis(100..7_000),
             2 => {
                 // The process of the host is replaced.
@@ -407,16 +424,19 @@
                 self.hosts[at].connection = is_up.then_some(life);
             }
 
-            let mut arrives = now + self.millis(0..20);
+            let transit = self.millis(0..20);
+            let mut written = now;
             if faulty && self.random.random_bool(0.003) {
                 // The process is suspended before it writes the call.
                 let until = now + self.millis(300..6_000);
-                self.hosts[at].suspended_until = until;
-                arrives = until + self.millis(0..20);
+                self.hosts[at].suspend(now, until);
+                written = self.hosts[at].suspended_until;
             }
+            let arrives = written + transit;
             self.hosts[at].exchanges.push(Exchange {
                 order,
                 sent: now,
+                written,
                 arrives,
                 // A call to a target that is down is refused.
                 life: if is_up { life } else { life - 1 },
