Keep the mark of a grant that is held up and then applied late

The simulation does not count a grant that a suspension of its host held up between the decision and the write. When the target also applied it late, the mark was lost, and the grant counted as a holder.

A check that counts them asks for more than any sender can keep, since it cannot withdraw what it has not written.

The late grant now carries the mark. In return a grant that does not count no longer hides the hold that an earlier grant under the same token gave: that hold is checked until its end, which it was not before.

--- a/wisteriaglade-mesh/tests/one_holder.rs
+++ b/wisteriaglade-mesh/tests/one_holder.rs
@@ -28,7 +28,7 @@
 const CALM_TIME: Duration = Duration::from_secs(9);
 
 /// The number of runs.
-const SEEDS: u64 = 400;
+const SEEDS: u64 = 1_000;
 
 const HOSTS: usize = 4;
 const SAMPLES: usize = 64;
@@ -47,9 +47,11 @@
 struct Key {
     seen: u64,
     fence: u64,
+    /// Until when the target holds the key by grants that count.
     until: Duration,
-    /// Whether the grant was held up by a suspension of its sender.
-    held_up: bool,
+    /// Until when it holds the key by a grant that does not count, because a
+    /// suspension of its sender held it up.
+    excused_until: Duration,
 }
 
 /// A grant that a target has received and applies later, without a response.
@@ -57,6 +59,7 @@
     call: Call,
     arrived: Duration,
     apply_at: Duration,
+    held_up: bool,
 }
 
 struct Target {
@@ -267,7 +270,7 @@
         let late = std::mem::take(&mut self.targets[at].late);
         for grant in late {
             if grant.apply_at <= now {
-                self.apply_grant(at, &grant.call, grant.arrived, false);
+                self.apply_grant(at, &grant.call, grant.arrived, grant.held_up);
             } else {
                 self.targets[at].late.push(grant);
             }
@@ -320,6 +323,8 @@
         let now = self.now;
         let back = now + self.millis(1..8);
         let call = &exchange.order.call;
+        // A suspension between the decision and the write holds it up.
+        let held_up = exchange.arrives > exchange.sent + Duration::from_millis(400);
         match call {
             Call::Grant { .. } if faulty && self.random.random_bool(0.15) => {
                 let apply_at = now + self.millis(0..4_000);
@@ -327,12 +332,11 @@
                     call: call.clone(),
                     arrived: now,
                     apply_at,
+                    held_up,
                 });
                 None
             }
             Call::Grant { .. } => {
-                // A suspension between the decision and the write holds it up.
-                let held_up = exchange.arrives > exchange.sent + Duration::from_millis(400);
                 let applied = self.apply_grant(at, call, now, held_up);
                 let response = if applied {
                     Response::Done("".into())
@@ -344,7 +348,9 @@
             Call::Release { span, .. } => {
                 for number in 0..SAMPLES {
                     if span.contains(sample(number)) {
-                        self.targets[at].keys[number].until = Duration::ZERO;
+                        let key = &mut self.targets[at].keys[number];
+                        key.until = Duration::ZERO;
+                        key.excused_until = Duration::ZERO;
                     }
                 }
                 let is_lost = faulty && self.random.random_bool(0.2);
@@ -372,12 +378,20 @@
             return false;
         }
         for number in (0..SAMPLES).filter(covered) {
-            keys[number] = Key {
-                seen: *fence,
-                fence: *fence,
-                until: arrived + hold.mul_f64(1.02),
-                held_up,
-            };
+            let until = arrived + hold.mul_f64(1.02);
+            let key = &mut keys[number];
+            if key.fence != *fence {
+                *key = Key::default();
+            }
+            key.seen = *fence;
+            key.fence = *fence;
+            if held_up {
+                // What an earlier grant gave still counts.
+                key.excused_until = until;
+            } else {
+                key.until = until;
+                key.excused_until = Duration::ZERO;
+            }
         }
         true
     }
@@ -530,7 +544,7 @@
             let holders: Vec<usize> = (0..HOSTS)
                 .filter(|at| {
                     let key = self.targets[*at].keys[number];
-                    key.until > now && !key.held_up
+                    key.until > now
                 })
                 .collect();
             assert!(holders.len() < 2, "key {number}: {holders:?} at {now:?}");
@@ -554,8 +568,9 @@
         let is_held = |number: &usize| {
             (0..HOSTS).any(|at| {
                 let issuer = &self.hosts[at].issuer;
+                let key = self.targets[at].keys[*number];
                 issuer.holds(self.now, sample(*number))
-                    && self.targets[at].keys[*number].until > self.now
+                    && key.until.max(key.excused_until) > self.now
             })
         };
         (0..SAMPLES).filter(is_held).count()
