Open no connection for a grant because another one is open

A target that had just restarted could get keys under the fencing token of its former run, which is no higher than the one they were held under (OWNER).

A grant opened a connection outside the 200 ms after a heartbeat while another one was open, since connections end with the target. A connection that has gone silent does not show its end: it stays open for the host until a call on it is given up, and meanwhile a renewal on a new connection reaches the next run. The time was also checked before the connection was opened only; a host that was suspended in between wrote to whatever ran afterwards.

The simulation now has idle connections and makes them go silent.

A grant now uses an idle connection, or a new one that is open within 200 ms after a heartbeat, on a clock that goes on while the host is suspended.

--- a/wisteriaglade-fleet/src/host/grants.rs
+++ b/wisteriaglade-fleet/src/host/grants.rs
@@ -61,8 +61,10 @@
                 // The response to a release cannot be told from the copy of one to
                 // an earlier call.
                 let reuse = match call {
-                    Call::Grant { .. } if self.clock.now() < connect_until => Reuse::Any,
-                    Call::Grant { .. } => Reuse::WhileConnected,
+                    Call::Grant { .. } => Reuse::OpenBefore {
+                        clock: self.clock,
+                        until: connect_until,
+                    },
                     Call::Release { .. } => Reuse::Never,
                 };
                 let sending = self.grant_client.call(request, reuse, |_| true);
--- a/wisteriaglade-fleet/src/host/target.rs
+++ b/wisteriaglade-fleet/src/host/target.rs
@@ -24,6 +24,7 @@
     time::{Instant, timeout},
 };
 use tracing::debug;
+use wisteriaglade_wire::Clock;
 
 use crate::lock;
 
@@ -62,20 +63,39 @@
 }
 
 /// Which idle connections a request may use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy)]
 pub(super) enum Reuse {
     /// Any, for a request that may run again if the target has closed it.
     Any,
     /// One that was used recently, for a request that may run only once.
     Recent,
-    /// Any; and a new one is opened only while another one is open, which shows
-    /// that the target is still the same process.
-    WhileConnected,
+    /// Any; and a new one is used only if it is open before the time `until`. A
+    /// later one may lead to a process that has replaced the target.
+    OpenBefore {
+        /// Tells the time, also after the host was suspended.
+        clock: Clock,
+        until: Duration,
+    },
     /// None, and the new connection is closed after the response: for a request
     /// whose response cannot be told from that of another.
     Never,
 }
 
+impl Reuse {
+    /// Whether a connection that is opened now may be used.
+    fn may_open(self) -> bool {
+        match self {
+            Self::OpenBefore { clock, until } => clock.now() < until,
+            Self::Any | Self::Recent | Self::Never => true,
+        }
+    }
+
+    /// Whether a connection may be used for another request.
+    fn may_keep(self) -> bool {
+        !matches!(self, Self::Never)
+    }
+}
+
 /// An HTTP/1 connection to the target.
 #[derive(Debug)]
 struct Connection {
@@ -147,10 +167,13 @@
                 },
             }
         }
-        if reuse == Reuse::WhileConnected && !self.is_connected() {
-            return Err(Failure::Unsent("the connections to the target have ended"));
+        if !reuse.may_open() {
+            return Err(Failure::Unsent("no connection to the target is idle"));
         }
         let mut connection = self.connect(reuse).await?;
+        if !reuse.may_open() {
+            return Err(Failure::Unsent("the connection was opened too late"));
+        }
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 self.read_response(connection, response, reuse, is_own)
@@ -182,7 +205,7 @@
         let limit = match reuse {
             Reuse::Never => return None,
             Reuse::Recent => ONCE_IDLE_TIMEOUT,
-            Reuse::Any | Reuse::WhileConnected => IDLE_TIMEOUT,
+            Reuse::Any | Reuse::OpenBefore { .. } => IDLE_TIMEOUT,
         };
         let mut idle = lock(&self.idle);
         while let Some(connection) = idle.pop() {
@@ -208,7 +231,7 @@
                 "the connection to the target could not be set up",
             ));
         };
-        let open = (reuse != Reuse::Never).then(|| Arc::clone(&self.open));
+        let open = reuse.may_keep().then(|| Arc::clone(&self.open));
         let driver = tokio::spawn(async move {
             if let Err(error) = driver.await {
                 debug!(event = "target-connection-broken", error = %error);
@@ -240,7 +263,7 @@
             .headers
             .get(http::header::CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        if !closes && reuse != Reuse::Never {
+        if !closes && reuse.may_keep() {
             connection.last_used = Instant::now();
             let mut idle = lock(&self.idle);
             if idle.len() < MAX_IDLE_CONNECTIONS {
--- a/wisteriaglade-mesh/src/issuer.rs
+++ b/wisteriaglade-mesh/src/issuer.rs
@@ -43,9 +43,10 @@
 /// The most calls that wait for a response at the same time.
 const MAX_OPEN_CALLS: usize = 8;
 
-/// How long after a heartbeat a grant may be sent on a new connection while no
-/// other one is open. Another process may have taken the target's place since,
-/// which must not get the grants of the target; its start takes longer than this.
+/// How long after a heartbeat a grant may be sent on a new connection. Another
+/// process may have taken the target's place since, which must not get the grants
+/// of the target; its start takes longer than this. That another connection is
+/// open does not show that the target still runs, because it may be silent.
 const HEARTBEAT_VALIDITY: Duration = Duration::from_millis(200);
 
 /// The pause before a call that failed is sent again.
@@ -110,8 +111,8 @@
     pub id: u64,
     /// The call.
     pub call: Call,
-    /// Until when the call may open a connection while no other one is open. A
-    /// release may always do so.
+    /// Until when a connection that the call opens has to be open. A release may
+    /// open one at any time.
     pub connect_until: Duration,
 }
 
--- a/wisteriaglade-mesh/tests/one_holder.rs
+++ b/wisteriaglade-mesh/tests/one_holder.rs
@@ -3,8 +3,8 @@
 //!
 //! Each seed gives the same run. The faults are those of the platform: grants
 //! that get no response and are applied late, releases whose response is lost,
-//! hosts that are suspended, cut off or replaced, targets that restart under their
-//! id, drain or run 2% slow, and changes of leader.
+//! hosts that are suspended, cut off or replaced, connections that go silent,
+//! targets that restart under their id, drain or run 2% slow, and changes of leader.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -72,6 +72,15 @@
     late: Vec<LateGrant>,
 }
 
+/// A connection from a host to its target.
+#[derive(Debug, Clone, Copy)]
+struct Connection {
+    /// The life of the target that it leads to.
+    life: u64,
+    /// Whether it carries nothing any more, not even its end.
+    silent: bool,
+}
+
 /// A call on its way to the target, or a response on its way back.
 struct Exchange {
     order: Order,
@@ -79,8 +88,7 @@
     /// When the host writes it, unless the host is suspended until later.
     written: Duration,
     arrives: Duration,
-    /// The life of the target that the connection leads to.
-    life: u64,
+    connection: Connection,
     /// When the response arrives at the host, once the target has sent one.
     answer: Option<(Duration, Response)>,
     arrived: bool,
@@ -95,8 +103,8 @@
     cut_until: Duration,
     next_report: Duration,
     exchanges: Vec<Exchange>,
-    /// The life of the target that the connection for calls leads to.
-    connection: Option<u64>,
+    /// The connections for grants that wait for the next one.
+    idle: Vec<Connection>,
     /// Responses of the leader: arrival, when the report was sent, whether a lease
     /// was given.
     leases: Vec<(Duration, Duration)>,
@@ -106,6 +114,47 @@
 }
 
 impl Host {
+    /// Returns whether a connection for grants is open, as far as the host knows.
+    fn is_connected(&self, life: u64) -> bool {
+        let used = self.exchanges.iter().filter_map(|exchange| {
+            let is_grant = matches!(exchange.order.call, Call::Grant { .. });
+            is_grant.then_some(&exchange.connection)
+        });
+        self.idle
+            .iter()
+            .chain(used)
+            .any(|connection| connection.silent || connection.life == life)
+    }
+
+    /// Returns a connection for a call; `life` is that of the target that accepts
+    /// connections, if there is one.
+    ///
+    /// A grant uses an idle connection, or opens one within the time that the
+    /// order allows. A release has one of its own.
+    fn connect(&mut self, now: Duration, order: &Order, life: Option<u64>) -> Option<Connection> {
+        let new = life.map(|life| Connection {
+            life,
+            silent: false,
+        });
+        match order.call {
+            Call::Release { .. } => new,
+            Call::Grant { .. } => {
+                let idle = self.idle.pop();
+                idle.or_else(|| new.filter(|_| now < order.connect_until))
+            }
+        }
+    }
+
+    /// Silences all connections to the target.
+    fn silence(&mut self) {
+        for exchange in &mut self.exchanges {
+            exchange.connection.silent = true;
+        }
+        for connection in &mut self.idle {
+            connection.silent = true;
+        }
+    }
+
     /// Suspends the process, which writes nothing until it goes on.
     fn suspend(&mut self, now: Duration, until: Duration) {
         self.suspended_until = self.suspended_until.max(until);
@@ -171,7 +220,7 @@
             cut_until: now,
             next_report: now,
             exchanges: Vec::new(),
-            connection: None,
+            idle: Vec::new(),
             leases: Vec::new(),
             directories: Vec::new(),
             index: 0,
@@ -222,7 +271,7 @@
         }
         let now = self.now;
         let host = self.random.random_range(0..HOSTS);
-        match self.random.random_range(0..6) {
+        match self.random.random_range(0..7) {
             0 => {
                 let until = now + self.millis(100..7_000);
                 self.hosts[host].suspend(now, until);
@@ -236,13 +285,14 @@
                 host.owner = None;
                 host.suspended_until = now;
                 host.exchanges.clear();
-                host.connection = None;
+                host.idle.clear();
                 host.leases.clear();
                 host.directories.clear();
                 host.index = 0;
             }
             3 => self.restart_target(host),
             4 => self.targets[host].draining = true,
+            5 => self.hosts[host].silence(),
             _ => {
                 let index = self.state.keyspaces_index();
                 self.roster = Roster::new(now).at_index(index);
@@ -285,7 +335,8 @@
                 exchange.arrived = true;
                 // A call on a connection to an earlier life is lost.
                 let target = &self.targets[at];
-                if exchange.life == target.life && target.starts <= now {
+                let Connection { life, silent } = exchange.connection;
+                if life == target.life && target.starts <= now && !silent {
                     exchange.answer = self.take_call(at, exchange, faulty);
                 }
             }
@@ -413,31 +464,39 @@
             }
         }
         for exchange in host.exchanges.extract_if(.., |exchange| {
-            let answered = exchange.answer.as_ref().is_some_and(|(at, _)| *at <= now);
-            answered || now >= exchange.sent + exchange.order.call.timeout()
+            let answer = exchange
+                .answer
+                .as_ref()
+                .filter(|_| !exchange.connection.silent);
+            let is_answered = answer.is_some_and(|(at, _)| *at <= now);
+            is_answered || now >= exchange.sent + exchange.order.call.timeout()
         }) {
+            let is_grant = matches!(exchange.order.call, Call::Grant { .. });
             let response = match exchange.answer {
-                Some((arrives, response)) if arrives <= now => response,
-                _ => {
-                    // The sender closes the connection of a call that it gives up.
-                    host.connection = None;
-                    Response::Unknown
+                Some((arrives, response)) if arrives <= now && !exchange.connection.silent => {
+                    if is_grant {
+                        host.idle.push(exchange.connection);
+                    }
+                    response
                 }
+                // The sender closes the connection of a call that it gives up.
+                _ => Response::Unknown,
             };
             host.issuer.settle(now, exchange.order.id, response);
         }
-        let life = self.targets[at].life;
-        if host.connection != Some(life) {
-            host.connection = None;
-        }
-        let orders = host.issuer.orders(now, host.connection.is_some());
+        // Connections end with the target, unless they are silent.
+        let (life, starts) = (self.targets[at].life, self.targets[at].starts);
+        host.idle
+            .retain(|connection| connection.silent || connection.life == life);
+        let is_connected = host.is_connected(life);
+        let orders = host.issuer.orders(now, is_connected);
         for order in orders {
-            let is_up = self.targets[at].starts <= now;
-            if matches!(order.call, Call::Grant { .. }) {
-                // A release has a connection of its own.
-                self.hosts[at].connection = is_up.then_some(life);
-            }
-
+            let host = &mut self.hosts[at];
+            let accepting = (starts <= now).then_some(life);
+            let Some(connection) = host.connect(now, &order, accepting) else {
+                host.issuer.settle(now, order.id, Response::Rejected);
+                continue;
+            };
             let transit = self.millis(0..20);
             let mut written = now;
             if faulty && self.random.random_bool(0.003) {
@@ -452,8 +511,7 @@
                 sent: now,
                 written,
                 arrives,
-                // A call to a target that is down is refused.
-                life: if is_up { life } else { life - 1 },
+                connection,
                 answer: None,
                 arrived: false,
             });
