Count a heartbeat from when the host last ran before it

A target that had restarted while the process of its host was suspended could get keys under the fencing token of its former run.

A grant may open a connection within 200 ms after a heartbeat, which counted from when the host handled it. The last heartbeat of a run that arrives during a suspension waits for the process; when it is handled, the run may have been replaced, and the grant reaches the next one.

A heartbeat now counts from a time at least 50 ms before, at which the process is known to have run: it had not arrived then, and what has waited is handled within 50 ms. The host checks for calls every 50 ms, so that a grant has 50 ms to 150 ms for a new connection.

--- a/wisteriaglade-mesh/src/issuer.rs
+++ b/wisteriaglade-mesh/src/issuer.rs
@@ -49,6 +49,11 @@
 /// open does not show that the target still runs, because it may be silent.
 const HEARTBEAT_VALIDITY: Duration = Duration::from_millis(200);
 
+/// How long a process that was suspended may take to handle the heartbeats that
+/// arrived meanwhile. The process that sent them may have been replaced since, so
+/// they count from before the suspension.
+const BACKLOG_TIME: Duration = Duration::from_millis(50);
+
 /// The pause before a call that failed is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -176,8 +181,11 @@
     pub allotment: Allotment,
     /// The longest hold to grant.
     limit: Duration,
-    /// When the target's last heartbeat arrived.
+    /// When the target's last heartbeat arrived at the earliest.
     last_heartbeat: Duration,
+    /// The last two times, at least [`BACKLOG_TIME`] apart, at which the process
+    /// is known to have run, the earlier one first.
+    active: [Duration; 2],
     /// Until when grants may hold that an earlier process of this host sent.
     inherited_until: Duration,
     exposures: Vec<Exposure>,
@@ -203,6 +211,7 @@
             allotment: Allotment::default(),
             limit,
             last_heartbeat: Duration::ZERO,
+            active: [now; 2],
             inherited_until: now + lease.mul_f64(DRIFT_FACTOR) + LEASE_SLACK,
             exposures: Vec::new(),
             withdrawn: Vec::new(),
@@ -217,13 +226,15 @@
     /// Takes a heartbeat of `owner`. Calls to an earlier target are forgotten:
     /// the leader waits until their holds have ended.
     pub fn heartbeat(&mut self, now: Duration, owner: &Owner) {
-        self.last_heartbeat = now;
+        self.record_activity(now);
+        self.last_heartbeat = self.active[0];
         if self.allotment.owner() == Some(owner) {
             return;
         }
         *self = Self {
             allotment: Allotment::of(owner.clone(), now),
-            last_heartbeat: now,
+            last_heartbeat: self.last_heartbeat,
+            active: self.active,
             inherited_until: self.inherited_until,
             next_id: self.next_id,
             ..Self::new(now, Duration::ZERO, self.limit)
@@ -261,6 +272,7 @@
     /// `connected` tells whether a connection for calls to the target is open.
     /// Connections end with the process of the target.
     pub fn orders(&mut self, now: Duration, connected: bool) -> Vec<Order> {
+        self.record_activity(now);
         self.exposures
             .retain(|known| known.answered_until.max(known.unanswered_until) > now);
         self.paused.retain(|(_, _, until)| *until > now);
@@ -339,6 +351,13 @@
         }
     }
 
+    /// Records that the process runs at `now`.
+    fn record_activity(&mut self, now: Duration) {
+        if now >= self.active[1] + BACKLOG_TIME {
+            self.active = [self.active[1], now];
+        }
+    }
+
     /// Drops what is known of ranges that the leader no longer assigns to this
     /// target under the same fencing token.
     fn forget_reassigned(&mut self) {
--- a/wisteriaglade-mesh/tests/issuer.rs
+++ b/wisteriaglade-mesh/tests/issuer.rs
@@ -64,6 +64,14 @@
     orders.remove(0)
 }
 
+/// Lets the host check for calls every 50 ms without a connection, as it does
+/// while it runs.
+fn check_for_calls(issuer: &mut Issuer, millis: std::ops::Range<u64>) {
+    for now in millis.step_by(50) {
+        assert_eq!(issuer.orders(at(now), false), []);
+    }
+}
+
 fn done() -> Response {
     Response::Done(Name::from(""))
 }
@@ -143,6 +151,7 @@
     let mut issuer = issuer(&owner, &granted(&owner));
 
     let late = issuer.orders(at(START + 300), false);
+    check_for_calls(&mut issuer, START + 350..START + 870);
     issuer.heartbeat(at(START + 870), &owner);
     let recent = issuer.orders(at(START + 900), false);
 
@@ -150,6 +159,21 @@
     assert_eq!(recent.len(), 1);
 }
 
+/// Guards against a grant that reaches the next process: the host was suspended
+/// while the target ended, and handles its last heartbeat when it goes on.
+#[test]
+fn a_heartbeat_that_waited_for_a_suspended_host_opens_no_connection() {
+    let owner = owner("i-1", 1);
+    let mut issuer = issuer(&owner, &granted(&owner));
+    check_for_calls(&mut issuer, START + 350..START + 870);
+
+    issuer.orders(at(START + 2_000), false);
+    issuer.heartbeat(at(START + 2_003), &owner);
+    let orders = issuer.orders(at(START + 2_003), false);
+
+    assert_eq!(orders, []);
+}
+
 /// Guards against a lapse of the hold while renewals are lost: there has to be
 /// time for two more after the first.
 #[test]
--- a/wisteriaglade-mesh/tests/one_holder.rs
+++ b/wisteriaglade-mesh/tests/one_holder.rs
@@ -111,6 +111,9 @@
     /// Directories on their way: arrival, index, ranges.
     directories: Vec<(Duration, u64, BTreeMap<Name, Keyspace>)>,
     index: u64,
+    /// Heartbeats that arrived while the host was suspended: the target, and
+    /// whether it drains.
+    backlog: Vec<(Owner, bool)>,
 }
 
 impl Host {
@@ -126,6 +129,20 @@
             .any(|connection| connection.silent || connection.life == life)
     }
 
+    /// Takes a heartbeat of the target, unless a later life of it is known.
+    fn take_heartbeat(&mut self, now: Duration, owner: Owner, draining: bool) {
+        let known = self.owner.as_ref();
+        if known.is_some_and(|known| known.started_ms > owner.started_ms) {
+            return;
+        }
+        self.draining = draining;
+        self.issuer.heartbeat(now, &owner);
+        if self.owner.as_ref() != Some(&owner) {
+            self.owner = Some(owner);
+            self.next_report = now;
+        }
+    }
+
     /// Returns a connection for a call; `life` is that of the target that accepts
     /// connections, if there is one.
     ///
@@ -224,6 +241,7 @@
             leases: Vec::new(),
             directories: Vec::new(),
             index: 0,
+            backlog: Vec::new(),
         });
         let targets = (0..HOSTS).map(|_| Target {
             life: 1,
@@ -289,6 +307,7 @@
                 host.leases.clear();
                 host.directories.clear();
                 host.index = 0;
+                host.backlog.clear();
             }
             3 => self.restart_target(host),
             4 => self.targets[host].draining = true,
@@ -348,19 +367,15 @@
         let now = self.now;
         let target = &self.targets[at];
         let host = &mut self.hosts[at];
-        if host.suspended_until > now {
-            return;
-        }
         let owner = Owner {
             target: format!("i-{at}").into(),
             started_ms: target.life,
             host_address: address(at),
         };
-        host.draining = target.draining;
-        host.issuer.heartbeat(now, &owner);
-        if host.owner.as_ref() != Some(&owner) {
-            host.owner = Some(owner);
-            host.next_report = now;
+        if host.suspended_until > now {
+            host.backlog.push((owner, target.draining));
+        } else {
+            host.take_heartbeat(now, owner, target.draining);
         }
     }
 
@@ -454,6 +469,9 @@
             return;
         }
         let host = &mut self.hosts[at];
+        for (owner, draining) in std::mem::take(&mut host.backlog) {
+            host.take_heartbeat(now, owner, draining);
+        }
         for (_, sent) in host.leases.extract_if(.., |(arrives, _)| *arrives <= now) {
             host.issuer.allotment.extend_lease(sent, LEASE);
         }
