Free the keys of a replaced target at once where hosts grant by calls

The leader knew that the targets had been replaced, but waited for the last lease that a former leader may have given, because a renewal for the former run may have reached the next one.

No renewal reaches it: a grant uses a connection that was opened to the run that sent the last heartbeat, and which ends with that run, also when it is silent, when the process of the host was suspended, and when the address is used again. The leader therefore frees the ranges of a target once the host at its address reports another one that started later. That holds for a new leader as well, since the report comes from the process that sent the grants, which forgets the former run at the first heartbeat of the next one. A target that has ended without such a report, because its host has restarted since, is waited for as before.

--- a/wisteriaglade-mesh/src/planner.rs
+++ b/wisteriaglade-mesh/src/planner.rs
@@ -121,9 +121,9 @@
 
     /// Sets whether hosts grant ranges by calls to their targets.
     ///
-    /// A call may reach the process that has replaced the target at its address,
-    /// so the ranges of a replaced target stay assigned until its last lease has
-    /// expired.
+    /// The calls use connections that end with the target, so once another target
+    /// runs at its host, it holds nothing. If it has ended and no other one is
+    /// reported there, its ranges stay assigned until its last lease has expired.
     #[must_use]
     pub fn with_grants_by_call(self, grants_by_call: bool) -> Self {
         Self {
@@ -196,7 +196,10 @@
         let wait = self.lease.mul_f64(DRIFT_FACTOR) + TIMER_MARGIN;
         let last_lease = roster.last_lease(owner);
         let is_expired = now.saturating_sub(last_lease) > wait;
-        if is_replaced || roster.ended().contains(owner) {
+        if is_replaced {
+            return true;
+        }
+        if roster.ended().contains(owner) {
             return is_expired || !self.grants_by_call;
         }
         let received = reported.iter().find(|(target, _)| target.owner == *owner);
