--- a/wisteriaglade-mesh/tests/one_holder.rs
+++ b/wisteriaglade-mesh/tests/one_holder.rs
@@ -3,8 +3,8 @@
 //!
 //! Each seed gives the same run. The faults are those of the platform: grants
 //! that get no response and are applied late, releases whose response is lost,
-//! hosts that are suspended, cut off or replaced, targets that restart under their
-//! id, drain or run 2% slow, and changes of leader.
+//! hosts that are suspended, cut off or replaced, connections that go silent,
+//! targets that restart under their id, drain or run 2% slow, and changes of leader.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -28,7 +28,7 @@
 const CALM_TIME: Duration = Duration::from_secs(9);
 
 /// The number of runs.
-const SEEDS: u64 = 400;
+const SEEDS: u64 = 1_000;
 
 const HOSTS: usize = 4;
 const SAMPLES: usize = 64;
@@ -47,9 +47,11 @@
 struct Key {
     seen: u64,
     fence: u64,
+    /// Until when the target holds the key by grants that count.
     until: Duration,
-    /// Whether the grant was held up by a suspension of its sender.
-    held_up: bool,
+    /// Until when it holds the key by a grant that does not count, because a
+    /// suspension of its sender held it up.
+    excused_until: Duration,
 }
 
 /// A grant that a target has received and applies later, without a response.
@@ -57,6 +59,7 @@
     call: Call,
     arrived: Duration,
     apply_at: Duration,
+    held_up: bool,
 }
 
 struct Target {
@@ -69,13 +72,23 @@
     late: Vec<LateGrant>,
 }
 
+/// A connection from a host to its target.
+#[derive(Debug, Clone, Copy)]
+struct Connection {
+    /// The life of the target that it leads to.
+    life: u64,
+    /// Whether it carries nothing any more, not even its end.
+    silent: bool,
+}
+
 /// A call on its way to the target, or a response on its way back.
 struct Exchange {
     order: Order,
     sent: Duration,
+    /// When the host writes it, unless the host is suspended until later.
+    written: Duration,
     arrives: Duration,
-    /// The life of the target that the connection leads to.
-    life: u64,
+    connection: Connection,
     /// When the response arrives at the host, once the target has sent one.
     answer: Option<(Duration, Response)>,
     arrived: bool,
@@ -90,14 +103,84 @@
     cut_until: Duration,
     next_report: Duration,
     exchanges: Vec<Exchange>,
-    /// The life of the target that the connection for calls leads to.
-    connection: Option<u64>,
+    /// The connections for grants that wait for the next one.
+    idle: Vec<Connection>,
     /// Responses of the leader: arrival, when the report was sent, whether a lease
     /// was given.
     leases: Vec<(Duration, Duration)>,
     /// Directories on their way: arrival, index, ranges.
     directories: Vec<(Duration, u64, BTreeMap<Name, Keyspace>)>,
     index: u64,
+    /// Heartbeats that arrived while the host was suspended: the target, and
+    /// whether it drains.
+    backlog: Vec<(Owner, bool)>,
+}
+
+impl Host {
+    /// Returns whether a connection for grants is open, as far as the host knows.
+    fn is_connected(&self, life: u64) -> bool {
+        let used = self.exchanges.iter().filter_map(|exchange| {
+            let is_grant = matches!(exchange.order.call, Call::Grant { .. });
+            is_grant.then_some(&exchange.connection)
+        });
+        self.idle
+            .iter()
+            .chain(used)
+            .any(|connection| connection.silent || connection.life == life)
+    }
+
+    /// Takes a heartbeat of the target, unless a later life of it is known.
+    fn take_heartbeat(&mut self, now: Duration, owner: Owner, draining: bool) {
+        let known = self.owner.as_ref();
+        if known.is_some_and(|known| known.started_ms > owner.started_ms) {
+            return;
+        }
+        self.draining = draining;
+        self.issuer.heartbeat(now, &owner);
+        if self.owner.as_ref() != Some(&owner) {
+            self.owner = Some(owner);
+            self.next_report = now;
+        }
+    }
+
+    /// Returns a connection for a call; `life` is that of the target that accepts
+    /// connections, if there is one.
+    ///
+    /// A grant uses an idle connection, or opens one within the time that the
+    /// order allows. A release has one of its own.
+    fn connect(&mut self, now: Duration, order: &Order, life: Option<u64>) -> Option<Connection> {
+        let new = life.map(|life| Connection {
+            life,
+            silent: false,
+        });
+        match order.call {
+            Call::Release { .. } => new,
+            Call::Grant { .. } => {
+                let idle = self.idle.pop();
+                idle.or_else(|| new.filter(|_| now < order.connect_until))
+            }
+        }
+    }
+
+    /// Silences all connections to the target.
+    fn silence(&mut self) {
+        for exchange in &mut self.exchanges {
+            exchange.connection.silent = true;
+        }
+        for connection in &mut self.idle {
+            connection.silent = true;
+        }
+    }
+
+    /// Suspends the process, which writes nothing until it goes on.
+    fn suspend(&mut self, now: Duration, until: Duration) {
+        self.suspended_until = self.suspended_until.max(until);
+        for exchange in self.exchanges.iter_mut().filter(|call| call.written > now) {
+            let delay = self.suspended_until.saturating_sub(exchange.written);
+            exchange.written += delay;
+            exchange.arrives += delay;
+        }
+    }
 }
 
 struct World {
@@ -154,10 +237,11 @@
             cut_until: now,
             next_report: now,
             exchanges: Vec::new(),
-            connection: None,
+            idle: Vec::new(),
             leases: Vec::new(),
             directories: Vec::new(),
             index: 0,
+            backlog: Vec::new(),
         });
         let targets = (0..HOSTS).map(|_| Target {
             life: 1,
@@ -205,8 +289,11 @@
         }
         let now = self.now;
         let host = self.random.random_range(0..HOSTS);
-        match self.random.random_range(0..6) {
-            0 => self.hosts[host].suspended_until = now + self.millis(100..7_000),
+        match self.random.random_range(0..7) {
+            0 => {
+                let until = now + self.millis(100..7_000);
+                self.hosts[host].suspend(now, until);
+            }
             1 => self.hosts[host].cut_until = now + self.millis(100..7_000),
             2 => {
                 // The process of the host is replaced.
@@ -216,13 +303,15 @@
                 host.owner = None;
                 host.suspended_until = now;
                 host.exchanges.clear();
-                host.connection = None;
+                host.idle.clear();
                 host.leases.clear();
                 host.directories.clear();
                 host.index = 0;
+                host.backlog.clear();
             }
             3 => self.restart_target(host),
             4 => self.targets[host].draining = true,
+            5 => self.hosts[host].silence(),
             _ => {
                 let index = self.state.keyspaces_index();
                 self.roster = Roster::new(now).at_index(index);
@@ -250,7 +339,7 @@
         let late = std::mem::take(&mut self.targets[at].late);
         for grant in late {
             if grant.apply_at <= now {
-                self.apply_grant(at, &grant.call, grant.arrived, false);
+                self.apply_grant(at, &grant.call, grant.arrived, grant.held_up);
             } else {
                 self.targets[at].late.push(grant);
             }
@@ -265,7 +354,8 @@
                 exchange.arrived = true;
                 // A call on a connection to an earlier life is lost.
                 let target = &self.targets[at];
-                if exchange.life == target.life && target.starts <= now {
+                let Connection { life, silent } = exchange.connection;
+                if life == target.life && target.starts <= now && !silent {
                     exchange.answer = self.take_call(at, exchange, faulty);
                 }
             }
@@ -277,19 +367,15 @@
         let now = self.now;
         let target = &self.targets[at];
         let host = &mut self.hosts[at];
-        if host.suspended_until > now {
-            return;
-        }
         let owner = Owner {
             target: format!("i-{at}").into(),
             started_ms: target.life,
             host_address: address(at),
         };
-        host.draining = target.draining;
-        host.issuer.heartbeat(now, &owner);
-        if host.owner.as_ref() != Some(&owner) {
-            host.owner = Some(owner);
-            host.next_report = now;
+        if host.suspended_until > now {
+            host.backlog.push((owner, target.draining));
+        } else {
+            host.take_heartbeat(now, owner, target.draining);
         }
     }
 
@@ -303,6 +389,8 @@
         let now = self.now;
         let back = now + self.millis(1..8);
         let call = &exchange.order.call;
+        // A suspension between the decision and the write holds it up.
+        let held_up = exchange.arrives > exchange.sent + Duration::from_millis(400);
         match call {
             Call::Grant { .. } if faulty && self.random.random_bool(0.15) => {
                 let apply_at = now + self.millis(0..4_000);
@@ -310,12 +398,11 @@
                     call: call.clone(),
                     arrived: now,
                     apply_at,
+                    held_up,
                 });
                 None
             }
             Call::Grant { .. } => {
-                // A suspension between the decision and the write holds it up.
-                let held_up = exchange.arrives > exchange.sent + Duration::from_millis(400);
                 let applied = self.apply_grant(at, call, now, held_up);
                 let response = if applied {
                     Response::Done("".into())
@@ -327,7 +414,9 @@
             Call::Release { span, .. } => {
                 for number in 0..SAMPLES {
                     if span.contains(sample(number)) {
-                        self.targets[at].keys[number].until = Duration::ZERO;
+                        let key = &mut self.targets[at].keys[number];
+                        key.until = Duration::ZERO;
+                        key.excused_until = Duration::ZERO;
                     }
                 }
                 let is_lost = faulty && self.random.random_bool(0.2);
@@ -355,12 +444,20 @@
             return false;
         }
         for number in (0..SAMPLES).filter(covered) {
-            keys[number] = Key {
-                seen: *fence,
-                fence: *fence,
-                until: arrived + hold.mul_f64(1.02),
-                held_up,
-            };
+            let until = arrived + hold.mul_f64(1.02);
+            let key = &mut keys[number];
+            if key.fence != *fence {
+                *key = Key::default();
+            }
+            key.seen = *fence;
+            key.fence = *fence;
+            if held_up {
+                // What an earlier grant gave still counts.
+                key.excused_until = until;
+            } else {
+                key.until = until;
+                key.excused_until = Duration::ZERO;
+            }
         }
         true
     }
@@ -372,6 +469,9 @@
             return;
         }
         let host = &mut self.hosts[at];
+        for (owner, draining) in std::mem::take(&mut host.backlog) {
+            host.take_heartbeat(now, owner, draining);
+        }
         for (_, sent) in host.leases.extract_if(.., |(arrives, _)| *arrives <= now) {
             host.issuer.allotment.extend_lease(sent, LEASE);
         }
@@ -382,44 +482,54 @@
             }
         }
         for exchange in host.exchanges.extract_if(.., |exchange| {
-            let answered = exchange.answer.as_ref().is_some_and(|(at, _)| *at <= now);
-            answered || now >= exchange.sent + exchange.order.call.timeout()
+            let answer = exchange
+                .answer
+                .as_ref()
+                .filter(|_| !exchange.connection.silent);
+            let is_answered = answer.is_some_and(|(at, _)| *at <= now);
+            is_answered || now >= exchange.sent + exchange.order.call.timeout()
         }) {
+            let is_grant = matches!(exchange.order.call, Call::Grant { .. });
             let response = match exchange.answer {
-                Some((arrives, response)) if arrives <= now => response,
-                _ => {
-                    // The sender closes the connection of a call that it gives up.
-                    host.connection = None;
-                    Response::Unknown
+                Some((arrives, response)) if arrives <= now && !exchange.connection.silent => {
+                    if is_grant {
+                        host.idle.push(exchange.connection);
+                    }
+                    response
                 }
+                // The sender closes the connection of a call that it gives up.
+                _ => Response::Unknown,
             };
             host.issuer.settle(now, exchange.order.id, response);
         }
-        let life = self.targets[at].life;
-        if host.connection != Some(life) {
-            host.connection = None;
-        }
-        let orders = host.issuer.orders(now, host.connection.is_some());
+        // Connections end with the target, unless they are silent.
+        let (life, starts) = (self.targets[at].life, self.targets[at].starts);
+        host.idle
+            .retain(|connection| connection.silent || connection.life == life);
+        let is_connected = host.is_connected(life);
+        let orders = host.issuer.orders(now, is_connected);
         for order in orders {
-            let is_up = self.targets[at].starts <= now;
-            if matches!(order.call, Call::Grant { .. }) {
-                // A release has a connection of its own.
-                self.hosts[at].connection = is_up.then_some(life);
-            }
-
-            let mut arrives = now + self.millis(0..20);
+            let host = &mut self.hosts[at];
+            let accepting = (starts <= now).then_some(life);
+            let Some(connection) = host.connect(now, &order, accepting) else {
+                host.issuer.settle(now, order.id, Response::Rejected);
+                continue;
+            };
+            let transit = self.millis(0..20);
+            let mut written = now;
             if faulty && self.random.random_bool(0.003) {
                 // The process is suspended before it writes the call.
                 let until = now + self.millis(300..6_000);
-                self.hosts[at].suspended_until = until;
-                arrives = until + self.millis(0..20);
+                self.hosts[at].suspend(now, until);
+                written = self.hosts[at].suspended_until;
             }
+            let arrives = written + transit;
             self.hosts[at].exchanges.push(Exchange {
                 order,
                 sent: now,
+                written,
                 arrives,
-                // A call to a target that is down is refused.
-                life: if is_up { life } else { life - 1 },
+                connection,
                 answer: None,
                 arrived: false,
             });
@@ -510,7 +620,7 @@
             let holders: Vec<usize> = (0..HOSTS)
                 .filter(|at| {
                     let key = self.targets[*at].keys[number];
-                    key.until > now && !key.held_up
+                    key.until > now
                 })
                 .collect();
             assert!(holders.len() < 2, "key {number}: {holders:?} at {now:?}");
@@ -534,8 +644,9 @@
         let is_held = |number: &usize| {
             (0..HOSTS).any(|at| {
                 let issuer = &self.hosts[at].issuer;
+                let key = self.targets[at].keys[*number];
                 issuer.holds(self.now, sample(*number))
-                    && self.targets[at].keys[*number].until > self.now
+                    && key.until.max(key.excused_until) > self.now
             })
         };
         (0..SAMPLES).filter(is_held).count()
