Close the daemon's listener without a reset

Callers saw a connection reset 2.4 ms after the start of a read while the process ended (a_graceful_shutdown_cuts_nothing::case_1_node).

Cause: a stop dropped the listener, which resets the connections in its queue; the HTTP library closed accepted connections whose request had not been read, and kept ones on which a request had just arrived; a close with unread bytes is a reset.

Now a socket filter makes the kernel ignore further attempts to connect, handshakes in progress get 25 ms, and the queue is taken before the socket is closed. Connections stay open for a last request for 0.5 s, answers during a stop close their connection, and the end of a connection is a half close followed by reading out the rest. The node leaves the cluster after the last request, as a node that has left refuses requests.

--- a/wisteriaglade-node/src/context.rs
+++ b/wisteriaglade-node/src/context.rs
@@ -64,7 +64,10 @@
     /// to it first.
     pub(crate) leader: Mutex<Option<u64>>,
     pub(crate) metrics: Metrics,
-    /// Cancelled when the process stops accepting requests.
+    /// Cancelled when the process is asked to stop. Requests are still accepted,
+    /// and each answer closes its connection.
+    pub(crate) leaving: CancellationToken,
+    /// Cancelled when the process stops accepting connections.
     pub(crate) draining: CancellationToken,
     /// Cancelled when all tasks must end.
     pub(crate) shutdown: CancellationToken,
--- a/wisteriaglade-node/src/daemon.rs
+++ b/wisteriaglade-node/src/daemon.rs
@@ -10,7 +10,7 @@
 };
 
 use tokio::{
-    net::{TcpListener, TcpSocket, UdpSocket},
+    net::UdpSocket,
     sync::{mpsc, watch},
     time::timeout,
 };
@@ -20,7 +20,7 @@
 use wisteriaglade_control::{self as control, State, planner};
 use wisteriaglade_router as router;
 use wisteriaglade_types::{Index, Node};
-use wisteriaglade_wire::{Clock, Key};
+use wisteriaglade_wire::{Clock, Key, Listener};
 
 use crate::{
     admin,
@@ -78,10 +78,6 @@
 
 impl std::error::Error for Error {}
 
-/// The listen backlog: connections that the kernel queues until they are
-/// accepted.
-const ACCEPT_BACKLOG: u32 = 1_024;
-
 /// The number of consensus messages that are queued for one other replica.
 const OUTBOX_CAPACITY: usize = 1_024;
 
@@ -180,32 +176,33 @@
         info!(event = "stopped");
     }
 
-    /// Drains this node: waits for its shards to move to other nodes, leaves the
-    /// cluster if they did, then stops accepting requests and waits for those in
-    /// flight. Each wait has a time limit.
+    /// Drains this node: waits for its shards to move to other nodes, closes the
+    /// listener for callers and waits for the requests in flight, then leaves the
+    /// cluster if the shards did move. Each wait has a time limit.
     async fn drain(&self) {
         let context = &self.context;
         info!(event = "draining");
+        context.leaving.cancel();
         context.drain_target();
-        if timeout(HAND_OVER_TIMEOUT, wait_until_handed_over(context))
-            .await
-            .is_ok()
+        let handed_over = timeout(HAND_OVER_TIMEOUT, wait_until_handed_over(context)).await;
+        context.draining.cancel();
+        context.requests.close();
+        let _ = timeout(context.settings.timing.shutdown, context.requests.wait()).await;
+        if handed_over.is_ok()
             && let Some(node) = context.node()
         {
             // Otherwise the leader would wait for the lease of this node to end
-            // before it removes the node, although the node owns nothing.
+            // before it removes the node, although the node owns nothing. A node
+            // that has left refuses requests, so this comes last.
             context
                 .propose(control::Command::Leave { node }, LEAVE_TIMEOUT)
                 .await;
         }
-        context.draining.cancel();
-        context.requests.close();
-        let _ = timeout(context.settings.timing.shutdown, context.requests.wait()).await;
     }
 
     /// Spawns the tasks that run until shutdown. `callers` and `peers` are the
     /// listeners of the caller and peer addresses.
-    fn spawn(&self, callers: TcpListener, peers: TcpListener) {
+    fn spawn(&self, callers: Listener, peers: Listener) {
         let context = &self.context;
         tokio::spawn(peer::listen(Arc::clone(context), peers));
         tokio::spawn(datagrams::receive(Arc::clone(context)));
@@ -248,18 +245,8 @@
 }
 
 /// Opens a TCP listener. `field` names the settings field for the error.
-fn bind(field: &'static str, address: SocketAddr) -> Result<TcpListener> {
-    let listen = || {
-        let socket = if address.is_ipv4() {
-            TcpSocket::new_v4()?
-        } else {
-            TcpSocket::new_v6()?
-        };
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(ACCEPT_BACKLOG)
-    };
-    listen().map_err(|error| Error::Bind(field, address, error))
+fn bind(field: &'static str, address: SocketAddr) -> Result<Listener> {
+    Listener::bind(address).map_err(|error| Error::Bind(field, address, error))
 }
 
 /// Replaces port 0 by a free port. The admin listener binds its address later,
@@ -376,6 +363,7 @@
         replica,
         leader: Mutex::new(None),
         metrics: Metrics::new(),
+        leaving: CancellationToken::new(),
         draining: CancellationToken::new(),
         shutdown: CancellationToken::new(),
         requests: TaskTracker::new(),
--- a/wisteriaglade-node/src/peer.rs
+++ b/wisteriaglade-node/src/peer.rs
@@ -5,14 +5,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::mpsc,
-    time::timeout,
-};
+use tokio::{net::TcpStream, sync::mpsc, time::timeout};
 use tracing::{debug, info, warn};
 use wisteriaglade_control::planner;
-use wisteriaglade_wire::{Kind, Link, Reader, Writer};
+use wisteriaglade_wire::{Kind, Link, Listener, Reader, Writer};
 
 use self::exchange::Exchange;
 use crate::{
@@ -36,7 +32,7 @@
 pub(crate) type Inbox = mpsc::Receiver<Message>;
 
 /// Accepts connections until shutdown, each served by its own task.
-pub(crate) async fn listen(context: Arc<Context>, listener: TcpListener) {
+pub(crate) async fn listen(context: Arc<Context>, listener: Listener) {
     loop {
         let accepted = tokio::select! {
             () = context.shutdown.cancelled() => return,
--- a/wisteriaglade-wire/src/lib.rs
+++ b/wisteriaglade-wire/src/lib.rs
@@ -11,6 +11,9 @@
 //! - [`Datagram`] encodes one message for UDP with a version and an authentication
 //!   tag.
 //!
+//! For any protocol over TCP it has [`Listener`], which can be closed without losing
+//! a connection, and [`Lingering`], a stream that is closed without a reset.
+//!
 //! It also has [`Clock`], a monotonic clock that includes suspensions of the host,
 //! and [`lock()`], [`read`] and [`write`](fn@write), which ignore lock poisoning.
 //!
@@ -37,7 +40,9 @@
 mod error;
 mod frame;
 mod key;
+mod lingering;
 mod link;
+mod listener;
 mod lock;
 
 pub use crate::{
@@ -46,7 +51,9 @@
     error::{Error, Kind, Result},
     frame::Frame,
     key::Key,
+    lingering::Lingering,
     link::{Link, Reader, Writer},
+    listener::Listener,
     lock::{lock, read, write},
 };
 
