Serve a fleet host's last connections before it exits

Callers that use a host of the fleet until it is gone saw resets: the process exited right after it closed its listeners, without waiting for connections that the kernel had accepted or whose request had not been read.

The listener and the connections end as in the daemon, requests on the last connections are refused as not run because the links to other hosts end, and the process waits up to 300 ms for them, within its margin to the end of the grace period.

--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -13,6 +13,7 @@
 use rstest::rstest;
 use support::{
     cluster::{Cluster, Options},
+    platform::Fleet,
     process::Process,
 };
 use tokio::{net::TcpStream, task::JoinSet, time::timeout};
@@ -31,6 +32,19 @@
 /// stop without other hosts gets to its end within this time.
 const MAX_HOLD_DELAY: Duration = Duration::from_millis(6);
 
+/// The seeds of the stops of a host of a fleet, which take some seconds each.
+const FLEET_SEEDS: Range<u64> = 1..3;
+
+/// The earliest moment, counted from the signal, at which a host of a fleet is
+/// held. It ends between 2.3 s and 2.9 s after the signal.
+const MIN_FLEET_HOLD_DELAY: Duration = Duration::from_millis(2_290);
+
+/// The time after [`MIN_FLEET_HOLD_DELAY`] within which a host of a fleet is held.
+const FLEET_HOLD_RANGE: Duration = Duration::from_millis(610);
+
+/// The time limit for a host of a fleet to serve.
+const START_BOUND: Duration = Duration::from_secs(20);
+
 /// How long the process is held. Connections that are opened meanwhile are
 /// accepted by the kernel only.
 const HOLD: Duration = Duration::from_millis(15);
@@ -122,6 +136,17 @@
     request.body(Empty::new()).unwrap()
 }
 
+/// A read at a host of a fleet.
+fn fleet_request(number: u64) -> Request<Empty<Bytes>> {
+    let id = format!("read-{number}");
+    let request = Request::get(format!("/read/{id}"))
+        .header("host", "x.example")
+        .header("x-wisteriaglade-request-id", &id)
+        .header("x-wisteriaglade-deadline-ms", "2000")
+        .header("x-wisteriaglade-shard-key", number % 1000);
+    request.body(Empty::new()).unwrap()
+}
+
 /// Sends one request after another until the process accepts no connections, and
 /// returns the number of answers and the requests that were cut.
 async fn run_caller(
@@ -232,3 +257,33 @@
     }
     assert!(found.is_empty(), "{found:#?}");
 }
+
+/// Guards against the same faults in the process beside a target of a fleet.
+#[rstest]
+#[case::new(Habit::New)]
+#[case::new_and_slow(Habit::NewAndSlow)]
+#[case::kept(Habit::Kept)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_to_a_host_of_a_fleet_is_answered(#[case] habit: Habit) {
+    let mut fleet = Fleet::start(1, 1, 1, 1).await;
+    let address = fleet.hosts[1].callers();
+    let mut found = Vec::new();
+    for seed in seeds(FLEET_SEEDS) {
+        fleet.wait_until_served(1, 7, START_BOUND).await;
+        let mut random = StdRng::seed_from_u64(seed);
+        let callers = Callers::start(address, habit, fleet_request, seed);
+        tokio::time::sleep(WARM_UP).await;
+
+        let hold = MIN_FLEET_HOLD_DELAY + FLEET_HOLD_RANGE.mul_f64(random.random());
+        let mut process = fleet.hosts[1].process.take().unwrap();
+        stop(&mut process, hold).await;
+
+        let cut = callers.end(seed).await;
+        if !cut.is_empty() {
+            found.push((seed, cut));
+        }
+        fleet.hosts[1].start();
+    }
+    fleet.check();
+    assert!(found.is_empty(), "{found:#?}");
+}
--- a/wisteriaglade-fleet/src/host.rs
+++ b/wisteriaglade-fleet/src/host.rs
@@ -34,7 +34,7 @@
 
 use tokio::{
     sync::Notify,
-    time::{MissedTickBehavior, interval, sleep},
+    time::{MissedTickBehavior, interval, sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 use tracing::info;
@@ -87,6 +87,10 @@
 /// requests are still open.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 
+/// The longest time that the process waits for the last connections of callers
+/// after its listeners have closed. It is within [`SHUTDOWN_MARGIN`].
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// The share of the fleet's retry budget that the hosts use. The rest covers
 /// repeats that a host cannot count, such as a connection that the target
 /// counts as a request.
@@ -199,7 +203,7 @@
         peers::Inbound::<D>::new(Arc::clone(&host)),
         shutdown_done.clone(),
     )?;
-    server::listen(
+    let callers = server::listen(
         host.sidecar.callers,
         ingress::Ingress::<D>::new(Arc::clone(&host)),
         shutdown_done.clone(),
@@ -241,7 +245,10 @@
         }
     }
     host.shut_down::<D>().await;
+    // Requests on the last connections are refused: the links to other hosts end.
+    host.closed.store(true, Ordering::Relaxed);
     shutdown_done.cancel();
+    let _ = timeout(CLOSE_TIMEOUT, callers).await;
     Ok(())
 }
 
--- a/wisteriaglade-fleet/src/link.rs
+++ b/wisteriaglade-fleet/src/link.rs
@@ -215,7 +215,8 @@
         async move {
             stop.run_until_cancelled_owned(task).await;
         }
-    })
+    })?;
+    Ok(())
 }
 
 /// Runs a connection, from the handshake until it ends or the other side is
--- a/wisteriaglade-fleet/src/listener.rs
+++ b/wisteriaglade-fleet/src/listener.rs
@@ -2,24 +2,21 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use tokio::{
-    net::{TcpListener, TcpSocket, TcpStream},
-    time::sleep,
-};
-use tokio_util::sync::CancellationToken;
+use tokio::{net::TcpStream, task::JoinHandle, time::sleep};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use tracing::warn;
+use wisteriaglade_wire::Listener;
 
 /// The delay after a failed `accept`. The usual cause is a lack of file
 /// descriptors, which lasts until connections end.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// The length of the listener's queue of established connections. All processes
-/// connect at about the same time when the fleet starts.
-const BACKLOG: u32 = 1024;
-
 /// Accepts connections until the token is cancelled, and spawns a task for each
 /// that runs the future returned by `handle`.
 ///
+/// Those that the kernel has accepted by then are handled too. The returned task
+/// ends when the listener is closed and all connections have ended.
+///
 /// # Errors
 ///
 /// When the address cannot be bound.
@@ -27,20 +24,21 @@
     address: SocketAddr,
     stop: CancellationToken,
     mut handle: impl FnMut(TcpStream, SocketAddr) -> F + Send + 'static,
-) -> std::io::Result<()>
+) -> std::io::Result<JoinHandle<()>>
 where
     F: Future<Output = ()> + Send + 'static,
 {
-    let listener = bind(address)?;
-    tokio::spawn(async move {
+    let listener = Listener::bind(address)?;
+    let connections = TaskTracker::new();
+    Ok(tokio::spawn(async move {
         loop {
             let accepted = tokio::select! {
-                () = stop.cancelled() => return,
+                () = stop.cancelled() => break,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
                 Ok((stream, peer)) => {
-                    tokio::spawn(handle(stream, peer));
+                    connections.spawn(handle(stream, peer));
                 }
                 Err(error) => {
                     warn!(event = "accept-failed", address = %address, error = %error);
@@ -48,18 +46,14 @@
                 }
             }
         }
-    });
-    Ok(())
-}
-
-/// Binds a listener with `SO_REUSEADDR`, as connections of a previous process on
-/// the address may still be in `TIME_WAIT`.
-fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+        if let Err(error) = listener.refuse() {
+            warn!(event = "refuse-failed", address = %address, error = %error);
+        }
+        sleep(Listener::HANDSHAKE).await;
+        for (stream, peer) in listener.drain().await {
+            connections.spawn(handle(stream, peer));
+        }
+        connections.close();
+        connections.wait().await;
+    }))
 }
--- a/wisteriaglade-fleet/src/server.rs
+++ b/wisteriaglade-fleet/src/server.rs
@@ -1,18 +1,24 @@
 //! HTTP/1.1 servers, and helpers for request and response bodies.
 
-use std::{convert::Infallible, net::SocketAddr};
+use std::{convert::Infallible, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header::CONNECTION};
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, task::JoinHandle, time::sleep};
 use tokio_util::sync::CancellationToken;
 use tracing::debug;
+use wisteriaglade_wire::Lingering;
 
 use crate::listener::accept;
 
+/// How long a connection without a request stays open after the end of the
+/// listener. A request that was sent before its caller learned of the end arrives
+/// within this time: the round trip to the farthest callers is 16 ms.
+const LAST_REQUEST_WAIT: Duration = Duration::from_millis(100);
+
 /// Handles the requests of one listener.
 pub(crate) trait Service: Clone + Send + Sync + 'static {
     /// Handles a request that arrived on a connection from `peer`.
@@ -24,7 +30,8 @@
 }
 
 /// Serves HTTP on an address until the token is cancelled. Connections then
-/// finish the request that they are serving and close.
+/// close after the next answer, or soon if no request comes. The returned task
+/// ends with the last of them.
 ///
 /// # Errors
 ///
@@ -33,7 +40,7 @@
     address: SocketAddr,
     service: S,
     stop: CancellationToken,
-) -> std::io::Result<()> {
+) -> std::io::Result<JoinHandle<()>> {
     accept(address, stop.clone(), move |stream, peer| {
         serve_connection(stream, peer, service.clone(), stop.clone())
     })
@@ -49,18 +56,31 @@
     if let Err(error) = stream.set_nodelay(true) {
         debug!(event = "nodelay-refused", error = %error);
     }
+    let closing = stop.clone();
     let handler = service_fn(move |request| {
-        let service = service.clone();
-        async move { Ok::<_, Infallible>(service.answer(peer, request).await) }
+        let (service, closing) = (service.clone(), closing.clone());
+        async move {
+            let mut response = service.answer(peer, request).await;
+            if closing.is_cancelled() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .serve_connection(TokioIo::new(stream), handler);
+        .serve_connection(TokioIo::new(Lingering::new(stream)), handler);
+    let last_request = async {
+        stop.cancelled().await;
+        sleep(LAST_REQUEST_WAIT).await;
+    };
     tokio::pin!(connection);
     let ended = tokio::select! {
+        biased;
         ended = connection.as_mut() => ended,
-        () = stop.cancelled() => {
+        () = last_request => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
