Try the new owner as soon as a silent one is fenced

Callers whose read was in flight when its owner was paused waited 1 s for the silence timeout of the link, although the key had a new owner after 0.45 s; keys_of_a_lost_process_are_served_again_in_time::case_3_paused then took 1.03 s to 1.04 s (bound 1 s) in 6 of 21 runs beside four busy processes and builds.

Cause: the wait for the owner's next message did not look at the control state. Now the link counts as lost 350 ms after its last message when the node is fenced. A fenced node that is alive sends progress every 250 ms, so its answer is still awaited; what follows a lost link is unchanged (the records of at-most-once work recognise the repeat).

--- a/tests/loss.rs
+++ b/tests/loss.rs
@@ -96,6 +96,43 @@
     assert_within(took, bound, &fault);
 }
 
+/// Guards against reads that wait for the answer of a paused owner although their
+/// keys have another owner already: they must be served within the bound for a key.
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_in_flight_at_the_pause_of_their_owner_are_served_in_time() {
+    let mut cluster = Cluster::start(Options::default()).await;
+    let keys = cluster.keys_of(VICTIM, 6).await;
+    let victim = cluster.hosts[VICTIM].target.clone();
+    let (calls, caller) = (cluster.calls.clone(), cluster.hosts[0].caller);
+    let in_flight: Vec<_> = keys
+        .iter()
+        .map(|key| {
+            let spec = RequestSpec::read(key).with_work(Duration::from_millis(100));
+            let calls = calls.clone();
+            tokio::spawn(async move { calls.send(0, caller, spec).await })
+        })
+        .collect();
+    let running = || async {
+        let running = victim.executions().len();
+        (running == keys.len())
+            .then_some(())
+            .ok_or_else(|| format!("{running} reads run"))
+    };
+    wait_for(STEP_TIMEOUT, "running reads", running).await;
+
+    inject(&mut cluster, Fault::Pause);
+    let start = Instant::now();
+    for call in in_flight {
+        call.await.unwrap().expect().unwrap();
+    }
+    let took = start.elapsed();
+    restore(&mut cluster, Fault::Pause, start).await;
+
+    cluster.check().await;
+    eprintln!("served after {took:?}");
+    assert_within(took, RECOVERY_BOUND, &"the reads in flight");
+}
+
 /// Guards against at-most-once work that runs again, or is refused as
 /// `not-run`, after its owner is lost in the middle of it.
 #[rstest]
--- a/wisteriaglade-node/src/forward.rs
+++ b/wisteriaglade-node/src/forward.rs
@@ -8,7 +8,12 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
-use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle, time::timeout};
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    task::JoinHandle,
+    time::{Instant, sleep_until, timeout},
+};
 use wisteriaglade_router::peer::{Connection, Outcome};
 use wisteriaglade_types::{Node, Request};
 use wisteriaglade_wire::{self as wire, Reader, Writer};
@@ -19,6 +24,7 @@
     job::Job,
     lock,
     message::{Forward, Head, Message, RequestState},
+    peer::PROGRESS_INTERVAL,
     pool::Link,
     read,
     refusal::{Reason, Refusal},
@@ -34,6 +40,11 @@
 /// unknown.
 const MAX_QUERIES: usize = 2;
 
+/// The silence after which a connection to a fenced node counts as lost: the
+/// interval of `Progress` and some delay. The silence timeout would use up the
+/// whole time in which a key is to be served again.
+const FENCED_SILENCE: Duration = PROGRESS_INTERVAL.saturating_add(Duration::from_millis(100));
+
 /// The task that sends a request body. It returns the sending half of the link
 /// when the whole body is sent.
 type BodyTask = JoinHandle<wire::Result<Writer<TcpStream>>>;
@@ -180,7 +191,23 @@
                 Message::Head(head) => return Ok(self.respond(*head, reader, body_task)),
                 _ => return Err(ConnectionLost),
             }
-            message = timeout(timing.silence, reader.recv()).await??;
+            message = self.receive(&mut reader).await?;
+        }
+    }
+
+    /// Waits for the next message of the node. The connection counts as lost after
+    /// the silence timeout, and sooner when the node is fenced: its keys get another
+    /// owner then.
+    async fn receive(&self, reader: &mut Reader<TcpStream>) -> Result<Message, ConnectionLost> {
+        let silent_at = Instant::now() + FENCED_SILENCE;
+        let fenced = async {
+            self.wait_until_fenced().await;
+            sleep_until(silent_at).await;
+        };
+        tokio::select! {
+            biased;
+            message = timeout(self.context.settings.timing.silence, reader.recv()) => Ok(message??),
+            () = fenced => Err(ConnectionLost),
         }
     }
 
--- a/wisteriaglade-node/src/peer.rs
+++ b/wisteriaglade-node/src/peer.rs
@@ -11,6 +11,7 @@
 use wisteriaglade_wire::{Kind, Link, Listener, Reader, Writer};
 
 use self::exchange::Exchange;
+pub(crate) use self::exchange::PROGRESS_INTERVAL;
 use crate::{
     context::Context,
     message::{Forward, Message, Proposed},
--- a/wisteriaglade-node/src/peer/exchange.rs
+++ b/wisteriaglade-node/src/peer/exchange.rs
@@ -28,7 +28,7 @@
 
 /// Interval of progress messages while a request waits or runs, by which the
 /// forwarding node tells a slow request from a lost connection.
-const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
+pub(crate) const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Chunks of a request body that are buffered for the target.
 const BUFFERED_CHUNKS: usize = 8;
