Count a candidate's vote timeout from the end of its sync

Callers saw keys unavailable for seconds while the control replicas' disk was busy, and "a settled cluster: not within 20s": elections went on from term to term without a leader.

The logs of such runs show a candidate that starts over in the same millisecond in which the sync of its own vote ends (slow-sync took_ms=5112, role=candidate, role=pre-candidate): the vote timeout of 250 to 500 ms had passed during the sync, before a request for votes was sent. Each round costs every replica another sync of a vote, which takes as long.

Writes to the control log from 100 ms on are logged as slow-sync.

--- a/wisteriaglade-consensus/src/raft.rs
+++ b/wisteriaglade-consensus/src/raft.rs
@@ -70,6 +70,8 @@
     leader_contact: Option<Duration>,
     /// When the next election starts unless a leader makes contact before.
     election_deadline: Duration,
+    /// When this replica became a candidate, until the next step.
+    campaign_start: Option<Duration>,
     /// The replicas that granted the current vote or pre-vote.
     votes_granted: BTreeSet<Replica>,
     /// The state of a leader. It is empty in the other roles.
@@ -128,6 +130,7 @@
             now,
             leader_contact: None,
             election_deadline: now,
+            campaign_start: None,
             votes_granted: BTreeSet::new(),
             leadership: Leadership::default(),
             assembly: None,
@@ -165,6 +168,9 @@
         outputs: &mut Vec<Output>,
     ) {
         self.now = self.now.max(now);
+        if let Some(start) = self.campaign_start.take() {
+            self.restart_vote_timeout(start);
+        }
         if std::mem::take(&mut self.restore_pending)
             && let Some(snapshot) = &self.snapshot
         {
@@ -412,6 +418,16 @@
         self.election_deadline = self.now + self.random.random_range(start / 2..=end / 2);
     }
 
+    /// Counts the vote timeout from now on instead of from `start`. The driver syncs
+    /// the own vote before it sends the requests and before the next step. With the
+    /// time of a slow sync included, a candidate would start over before any other
+    /// replica can have answered, and each round costs all of them another sync.
+    fn restart_vote_timeout(&mut self, start: Duration) {
+        if self.role == Role::Candidate {
+            self.election_deadline += self.now.saturating_sub(start);
+        }
+    }
+
     fn send(&self, to: Replica, message: Message, outputs: &mut Vec<Output>) {
         debug_assert_ne!(to, self.config.replica, "a replica sends to itself");
         outputs.push(Output::Send { to, message });
--- a/wisteriaglade-consensus/src/raft/election.rs
+++ b/wisteriaglade-consensus/src/raft/election.rs
@@ -32,6 +32,7 @@
     /// Starts a new term, votes for this replica and asks the others for votes.
     fn campaign(&mut self, outputs: &mut Vec<Output>) {
         self.reset_vote_timeout();
+        self.campaign_start = Some(self.now);
         self.role = Role::Candidate;
         self.leader = None;
         self.votes_granted = [self.config.replica].into();
--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -39,6 +39,10 @@
 /// by publishing the replica's state.
 const MAX_BATCH_INPUTS: usize = 256;
 
+/// The time from which a write to the disk is logged as slow. The leader sends no
+/// heartbeats meanwhile, and followers start an election after 500 ms.
+const SLOW_SYNC: Duration = Duration::from_millis(100);
+
 /// The number of applied entries after which a snapshot is taken. It bounds
 /// the size of the log on disk and the time to read it at startup.
 const SNAPSHOT_ENTRIES: u64 = 1_024;
@@ -280,10 +284,15 @@
         while let Some(output) = queue.pop_front() {
             match output {
                 Output::Persist(change) => {
+                    let start = self.clock.now();
                     if let Err(error) = self.storage.persist(&change) {
                         self.fail(&error);
                         return;
                     }
+                    let took = self.clock.now().saturating_sub(start);
+                    if took >= SLOW_SYNC {
+                        warn!(event = "slow-sync", took_ms = took.as_millis());
+                    }
                     self.record_fences(&change);
                 }
                 Output::Send { to, message } => {
