--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -132,7 +132,6 @@
     pub seed: u64,
     options: Options,
     data: TempDir,
-    _block: Block,
     _serial_guard: MutexGuard<'static, ()>,
 }
 
@@ -153,7 +152,7 @@
         let observations = Arc::default();
         let mut hosts = Vec::new();
         for number in 0..options.hosts {
-            let mut host = start_host(number, &block, &options, &net, &data).await;
+            let mut host = start_host(number, block, &options, &net, &data).await;
             if let Some(protocol) = options.faulty {
                 host.replace_target(protocol, &observations).await;
             }
@@ -168,7 +167,6 @@
             seed,
             options,
             data,
-            _block: block,
             _serial_guard: serial_guard,
         };
         for number in 0..cluster.hosts.len() {
@@ -449,7 +447,7 @@
 }
 
 /// Returns the address in a block with the last byte `last`.
-fn address(block: &Block, last: usize) -> IpAddr {
+fn address(block: Block, last: usize) -> IpAddr {
     block.address(u8::try_from(last).unwrap()).into()
 }
 
@@ -468,7 +466,7 @@
 /// Starts the target and the relays of a host and writes its settings file.
 async fn start_host(
     number: usize,
-    block: &Block,
+    block: Block,
     options: &Options,
     net: &Arc<Network>,
     data: &TempDir,
@@ -521,7 +519,7 @@
 fn settings_text(
     name: &str,
     number: usize,
-    block: &Block,
+    block: Block,
     options: &Options,
     data: &TempDir,
 ) -> String {
