Refuse a request only if none of its copies ran

A target that is silent for 1 s is sent a read again over a new connection. A refusal of the second copy was taken for the outcome of the request: its caller was told "not-run" while the first copy ran, and the response of the first copy was dropped. The same happened when the first copy's connection broke and the second one was refused or not sent.

The first response still wins, but a refusal or a failure of one copy now waits for the other one, until the deadline. The request did not run only if neither copy can have run. To answer "unknown" at once was weighed: it would give up responses that come in time.

tests/responses.rs: a target holds the first copy for 1.4 or 2.5 s, or ends its connection after 1.4 s, and refuses the second one.

The cases of a_response_that_broke_off_is_no_success share one cluster now, with the same checks and every fault for both kinds of requests.

--- a/tests/responses.rs
+++ b/tests/responses.rs
@@ -221,27 +221,56 @@
     assert!(expected.contains(&connections), "{connections} connections");
 }
 
+/// Guards against a refusal that is not true because it is that of a second copy
+/// of the request: the target is silent for so long that the node sends the request
+/// again, and refuses the copy while the first one runs. The response may come
+/// within the deadline, after it, or not at all.
+#[rstest]
+#[case::in_time("twice-1400", true)]
+#[case::too_late("twice-2500", false)]
+#[case::cut("lost-1400", false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_of_a_copy_is_no_refusal_of_the_request(
+    #[case] fault: &str,
+    #[case] served: bool,
+) {
+    let fixture = Fixture::start(true).await;
+
+    let calls = tokio::join!(
+        fixture.call(OWNER, Kind::Read, fault),
+        fixture.call(OTHER, Kind::Read, fault),
+    );
+    for call in <[_; 2]>::from(calls) {
+        assert!(fixture.has_run(&call), "{call:?}");
+        assert_eq!(call.served(), served, "{call:?}");
+    }
+
+    fixture.check();
+}
+
 /// Guards against a response that broke off and reaches the caller as a whole one,
 /// from the owner's node or through another one: short of its length, before the
 /// last chunk, or because the connection was reset before its end.
-#[rstest]
-#[case::cut("cut-0", Kind::Read)]
-#[case::cut_booking("cut-0", Kind::Booking)]
-#[case::chunks("chunk-0", Kind::Read)]
-#[case::chunks_booking("chunk-0", Kind::Booking)]
-#[case::reset("reset-20-length", Kind::Read)]
-#[case::reset_booking("reset-20-chunks", Kind::Booking)]
-#[case::reset_without_a_length("reset-20-close", Kind::Read)]
-#[case::reset_booking_without_a_length("reset-20-close", Kind::Booking)]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_response_that_broke_off_is_no_success(#[case] fault: &str, #[case] kind: Kind) {
+async fn a_response_that_broke_off_is_no_success() {
     let fixture = Fixture::start(true).await;
+    let faults = [
+        "cut-0",
+        "chunk-0",
+        "reset-20-length",
+        "reset-20-chunks",
+        "reset-20-close",
+    ];
 
-    for via in [OWNER, OTHER] {
-        let call = fixture.call(via, kind, fault).await;
-        assert!(!call.served(), "{fault}: {call:?}");
+    for fault in faults {
+        for kind in [Kind::Read, Kind::Booking] {
+            for via in [OWNER, OTHER] {
+                let call = fixture.call(via, kind, fault).await;
+                assert!(!call.served(), "{fault}: {call:?}");
+            }
+        }
     }
-    let whole = fixture.call(OWNER, kind, "whole-0").await;
+    let whole = fixture.call(OWNER, Kind::Read, "whole-0").await;
 
     assert!(whole.served(), "{whole:?}");
     fixture.check();
--- a/tests/support/faulty.rs
+++ b/tests/support/faulty.rs
@@ -82,9 +82,12 @@
             // The copy of the previous answer comes after this request.
             stream.write_all(&answer).await?;
         }
-        if request.fault != "shed" {
-            record_run(observations, &request.id);
-        }
+        let runs = match request.fault.as_str() {
+            "shed" => 0,
+            // The second copy of a request is refused.
+            "twice" | "lost" if count_runs(observations, &request.id) > 0 => 0,
+            _ => record_run(observations, &request.id),
+        };
         let answer = whole_answer(&request);
         let head_end = answer.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
         match request.fault.as_str() {
@@ -105,6 +108,15 @@
                 stream.write_all(&refusal).await?;
                 copy = Some(refusal);
             }
+            "twice" | "lost" if runs == 0 => stream.write_all(&refusal(&request)).await?,
+            "twice" => {
+                sleep(Duration::from_millis(request.millis)).await;
+                stream.write_all(&answer).await?;
+            }
+            "lost" => {
+                sleep(Duration::from_millis(request.millis)).await;
+                return Ok(());
+            }
             "cut" => {
                 stream.write_all(&answer[..answer.len() - 3]).await?;
                 return Ok(());
@@ -140,9 +152,17 @@
     Ok(())
 }
 
-fn record_run(observations: &Mutex<Observations>, id: &str) {
+/// Records a run of a request and returns the number of its runs.
+fn record_run(observations: &Mutex<Observations>, id: &str) -> u32 {
     let mut observations = observations.lock().unwrap();
-    *observations.runs.entry(id.to_owned()).or_default() += 1;
+    let runs = observations.runs.entry(id.to_owned()).or_default();
+    *runs += 1;
+    *runs
+}
+
+fn count_runs(observations: &Mutex<Observations>, id: &str) -> u32 {
+    let runs = &observations.lock().unwrap().runs;
+    runs.get(id).copied().unwrap_or(0)
 }
 
 /// Writes text again and again until the connection is closed.
--- a/wisteriaglade-node/src/target.rs
+++ b/wisteriaglade-node/src/target.rs
@@ -74,6 +74,9 @@
     Foreign(&'static str),
 }
 
+/// The result of a request to the target.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
 impl Client {
     pub(crate) fn new(connect_timeout: Duration, max_idle: usize) -> Self {
         let mut connector = HttpConnector::new();
@@ -108,7 +111,7 @@
         connection: Connection,
         address: SocketAddr,
         mut request: Request<Body>,
-    ) -> Result<Response<Incoming>, Error> {
+    ) -> Result<Response<Incoming>> {
         let path_and_query = request
             .uri()
             .path_and_query()
--- a/wisteriaglade-node/src/target/echo.rs
+++ b/wisteriaglade-node/src/target/echo.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderMap, HeaderValue};
 
-use super::Error;
+use super::{Error, Result};
 use crate::header as names;
 
 /// The id of a request in its response.
@@ -26,7 +26,7 @@
     /// Checks that a response with this id is that of the request. Without an id it
     /// is, unless the connection is `reusable`, so that an earlier response can come
     /// on it.
-    pub(super) fn verify(self, reusable: bool) -> Result<(), Error> {
+    pub(super) fn verify(self, reusable: bool) -> Result<()> {
         match self {
             Self::Own => Ok(()),
             Self::Absent if !reusable => Ok(()),
--- a/wisteriaglade-node/src/work/dispatch.rs
+++ b/wisteriaglade-node/src/work/dispatch.rs
@@ -90,14 +90,14 @@
 /// Repeatable short work is also sent over a new connection if the first one
 /// is silent for much longer than the estimated service time, since a device on
 /// the network path may have dropped its state of the connection. The first
-/// response wins.
+/// response wins, but a refusal of one copy leaves open whether the other one runs.
 async fn send(
     context: &Context,
     grant: &Grant,
     request: HttpRequest<Body>,
     class: Class,
     deadline: Duration,
-) -> Result<Response<Incoming>, target::Error> {
+) -> target::Result<Response<Incoming>> {
     let once = grant.rule.execution == Execution::Once;
     let second_request = clone_request(&request);
     let connection = if once {
@@ -124,15 +124,36 @@
     }
     let second = attempt(context, Connection::Unpooled, grant.target, second_request);
     tokio::pin!(second);
-    tokio::select! {
-        outcome = &mut first => match outcome {
-            Ok(response) => Ok(response),
-            Err(_) => second.await,
-        },
-        outcome = &mut second => match outcome {
-            Ok(response) => Ok(response),
-            Err(_) => first.await,
-        },
+    let (outcome, other) = tokio::select! {
+        outcome = &mut first => (outcome, second),
+        outcome = &mut second => (outcome, first),
+    };
+    if has_run(&outcome) {
+        return outcome;
+    }
+    merge(outcome, other.await)
+}
+
+/// Whether the target has run this copy of a request and responded.
+fn has_run<B>(outcome: &target::Result<Response<B>>) -> bool {
+    matches!(outcome, Ok(response) if shed_refusal(response.headers()).is_none())
+}
+
+/// Merges the outcomes of two copies of a request. The request did not run only if
+/// neither copy did.
+fn merge<B>(
+    first: target::Result<Response<B>>,
+    second: target::Result<Response<B>>,
+) -> target::Result<Response<B>> {
+    let may_have_run = |outcome: &target::Result<Response<B>>| match outcome {
+        Ok(_) => has_run(outcome),
+        Err(error) => !matches!(error, target::Error::Unsent(_)),
+    };
+    let unsent = matches!(second, Err(target::Error::Unsent(_)));
+    if !has_run(&second) && (may_have_run(&first) || unsent) {
+        first
+    } else {
+        second
     }
 }
 
@@ -142,7 +163,7 @@
     connection: Connection,
     address: SocketAddr,
     request: HttpRequest<Body>,
-) -> Result<Response<Incoming>, target::Error> {
+) -> target::Result<Response<Incoming>> {
     let outcome = context.client.send(connection, address, request).await;
     if let Err(target::Error::Foreign(detail)) = &outcome {
         context.metrics.foreign_responses.inc();
@@ -217,3 +238,6 @@
         None => refusal,
     })
 }
+
+#[cfg(test)]
+mod tests;
