Use no response whose end is only that of its connection

A response with neither a length nor chunks ends with its connection. That is also what is seen when the target's process ends halfway, so a caller got 200 and "done" with half a body, and for a booking that body is also what a resend gets.

To use it when the connection was not reset was weighed: a process that is killed does not always reset its connections.

tests/responses.rs: a target ends a response without a length three bytes early.

The router takes a target out of service after 5 failures in a row, and the test made 20 and more. It now sends a whole request after each, and checks each.

--- a/tests/responses.rs
+++ b/tests/responses.rs
@@ -267,11 +267,32 @@
             for via in [OWNER, OTHER] {
                 let call = fixture.call(via, kind, fault).await;
                 assert!(!call.served(), "{fault}: {call:?}");
+                // A target that only fails is taken out of service.
+                let whole = fixture.call(via, kind, "whole-0").await;
+                assert!(whole.served(), "after {fault}: {whole:?}");
             }
         }
     }
-    let whole = fixture.call(OWNER, Kind::Read, "whole-0").await;
 
-    assert!(whole.served(), "{whole:?}");
+    fixture.check();
+}
+
+/// Guards against the same where a response has neither a length nor chunks: the end
+/// of the connection is also what is seen of a target whose process ended halfway.
+#[rstest]
+#[case::reads(Kind::Read)]
+#[case::bookings(Kind::Booking)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_ends_with_its_connection_is_no_success(#[case] kind: Kind) {
+    let fixture = Fixture::start(true).await;
+
+    for via in [OWNER, OTHER] {
+        let cut = fixture.call(via, kind, "cut-0-close").await;
+        assert!(!cut.served(), "{cut:?}");
+        assert_ne!(cut.outcome(), "not-run", "{cut:?}");
+        let whole = fixture.call(via, kind, "whole-0").await;
+        assert!(whole.served(), "{whole:?}");
+    }
+
     fixture.check();
 }
--- a/wisteriaglade-node/src/work/dispatch.rs
+++ b/wisteriaglade-node/src/work/dispatch.rs
@@ -81,9 +81,29 @@
         });
         return Err(refusal);
     }
+    if ends_with_connection(&response) {
+        guard.finish(Finish::Failed);
+        let detail = "the response has neither a length nor chunks";
+        return Err(Refusal::unknown(Reason::ConnectionLost, detail));
+    }
     Ok(response)
 }
 
+/// Whether only the end of the connection marks the end of a response. It is then
+/// not known to be whole, since the connection also ends when the target does.
+fn ends_with_connection<B: hyper::body::Body>(response: &Response<B>) -> bool {
+    let body = response.body();
+    if body.is_end_stream() || body.size_hint().exact().is_some() {
+        return false;
+    }
+    let codings = response.headers().get_all(header::TRANSFER_ENCODING);
+    let last = codings
+        .iter()
+        .next_back()
+        .and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    last.is_none_or(|last| !last.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// Sends the request, and again over a new connection if the pooled one turns
 /// out to be closed.
 ///
