--- a/tests/support/faulty.rs
+++ b/tests/support/faulty.rs
@@ -84,6 +84,8 @@
         let is_refused = match request.fault.as_str() {
             "shed" | "anonymous" => true,
             "busy" => count_offer(observations, &request.id) == 1,
+            // The second copy of a request is refused.
+            "twice" | "lost" => count_offer(observations, &request.id) > 1,
             _ => false,
         };
         let run = if is_refused {
@@ -99,8 +101,11 @@
         if is_refused {
             let refusal = refusal(&request);
             stream.write_all(&refusal).await?;
-            let id = (request.fault == "busy").then_some(request.id);
-            copy = Some((refusal, id));
+            copy = match request.fault.as_str() {
+                "twice" | "lost" => None,
+                "busy" => Some((refusal, Some(request.id))),
+                _ => Some((refusal, None)),
+            };
             continue;
         }
         let answer = whole_answer(&request, run);
@@ -118,10 +123,14 @@
                 stream.write_all(&answer).await?;
                 copy = Some((answer, None));
             }
-            "work" => {
+            "work" | "twice" => {
                 sleep(Duration::from_millis(request.millis)).await;
                 stream.write_all(&answer).await?;
             }
+            "lost" => {
+                sleep(Duration::from_millis(request.millis)).await;
+                return Ok(());
+            }
             "cut" => {
                 stream.write_all(&answer[..answer.len() - 3]).await?;
                 return Ok(());
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -61,8 +61,8 @@
 pub struct Observations {
     /// The number of times that each request started to run, by request id.
     pub runs: HashMap<String, u32>,
-    /// The number of times that a request arrived that asks a faulty server to
-    /// refuse the first one, by request id.
+    /// The number of times that a request arrived whose fault depends on it, by
+    /// request id.
     pub offers: HashMap<String, u32>,
     /// The number of connections that a faulty server accepted.
     pub connections: u32,
