--- a/wisteriaglade-fleet/src/host/tracker.rs
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -30,7 +30,7 @@
     /// The answers to its heartbeats.
     Heartbeat(Grantor),
     /// Calls to the target.
-    Call(Issuer),
+    Call(Box<Issuer>),
 }
 
 impl Grants {
@@ -88,7 +88,9 @@
     pub(super) fn new(settings: &Settings, now: Duration) -> Self {
         let grants = match settings.grants {
             GrantChannel::Heartbeat => Grants::Heartbeat(Grantor::default()),
-            GrantChannel::Call => Grants::Call(Issuer::new(now, LEASE, settings.hold_max)),
+            GrantChannel::Call => {
+                Grants::Call(Box::new(Issuer::new(now, LEASE, settings.hold_max)))
+            }
         };
         Self {
             host: settings.link,
