--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -270,12 +270,7 @@
 /// while requests run. `SOAK_SEEDS=FROM..TO` runs other seeds.
 #[tokio::test(flavor = "multi_thread")]
 async fn invariants_hold_under_random_faults() {
-    let range = std::env::var("SOAK_SEEDS").ok().and_then(|text| {
-        let (from, to) = text.split_once("..")?;
-        Some(from.parse().ok()?..to.parse().ok()?)
-    });
-    let seeds: Vec<u64> = range.map_or_else(|| SEEDS.to_vec(), Iterator::collect);
-    for seed in seeds {
+    for seed in support::seeds("SOAK_SEEDS", &SEEDS) {
         println!("soak seed {seed}");
         soak(seed).await;
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -143,12 +143,7 @@
 /// lost, while faults overlap. `SOAK_SEEDS=FROM..TO` plays other seeds.
 #[tokio::test(flavor = "multi_thread")]
 async fn invariants_hold_while_faults_overlap() {
-    let range = std::env::var("SOAK_SEEDS").ok().and_then(|text| {
-        let (from, to) = text.split_once("..")?;
-        Some(from.parse().ok()?..to.parse().ok()?)
-    });
-    let seeds: Vec<u64> = range.map_or_else(|| SEEDS.to_vec(), Iterator::collect);
-    for seed in seeds {
+    for seed in support::seeds("SOAK_SEEDS", &SEEDS) {
         println!("soak seed {seed}");
         soak(seed).await;
     }
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::{net::SocketAddr, ops::Range, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::Request;
@@ -20,7 +20,7 @@
 
 /// The seeds of the stops. Each sets the pauses of the callers and the moment at
 /// which the process is held for a while. `STOP_SEEDS=FROM..TO` plays others.
-const SEEDS: Range<u64> = 1..13;
+const SEEDS: [u64; 12] = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12];
 
 /// The number of concurrent callers.
 const CALLERS: u64 = 24;
@@ -33,7 +33,7 @@
 const MAX_HOLD_DELAY: Duration = Duration::from_millis(6);
 
 /// The seeds of the stops of a host of a fleet, which take some seconds each.
-const FLEET_SEEDS: Range<u64> = 1..3;
+const FLEET_SEEDS: [u64; 2] = [1, 2];
 
 /// The earliest moment, counted from the signal, at which a host of a fleet is
 /// held. It ends between 2.3 s and 2.9 s after the signal.
@@ -90,15 +90,6 @@
     Cut(String),
 }
 
-/// Returns the seeds of the environment variable `STOP_SEEDS`, or the usual ones.
-fn seeds(usual: Range<u64>) -> Range<u64> {
-    let Ok(text) = std::env::var("STOP_SEEDS") else {
-        return usual;
-    };
-    let (from, to) = text.split_once("..").expect("STOP_SEEDS=FROM..TO");
-    from.parse().unwrap()..to.parse().unwrap()
-}
-
 /// Opens a connection. Returns `None` when the attempt is refused or ignored, as it
 /// is at the end of a process.
 async fn connect(address: SocketAddr) -> Option<TcpStream> {
@@ -240,7 +231,7 @@
     .await;
     let address = cluster.hosts[0].caller;
     let mut found = Vec::new();
-    for seed in seeds(SEEDS) {
+    for seed in support::seeds("STOP_SEEDS", &SEEDS) {
         let mut random = StdRng::seed_from_u64(seed);
         let callers = Callers::start(address, habit, node_request, seed);
         tokio::time::sleep(WARM_UP).await;
@@ -268,7 +259,7 @@
     let mut fleet = Fleet::start(1, 1, 1, 1).await;
     let address = fleet.hosts[1].callers();
     let mut found = Vec::new();
-    for seed in seeds(FLEET_SEEDS) {
+    for seed in support::seeds("STOP_SEEDS", &FLEET_SEEDS) {
         fleet.wait_until_served(1, 7, START_BOUND).await;
         let mut random = StdRng::seed_from_u64(seed);
         let callers = Callers::start(address, habit, fleet_request, seed);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -59,3 +59,16 @@
 pub fn assert_within(took: Duration, bound: Duration, what: &dyn Debug) {
     assert!(took <= bound, "{what:?} took {took:?}, bound {bound:?}");
 }
+
+/// Returns the seeds that an environment variable gives as `FROM..TO`, or the
+/// usual ones.
+pub fn seeds(variable: &str, usual: &[u64]) -> Vec<u64> {
+    let Ok(text) = std::env::var(variable) else {
+        return usual.to_vec();
+    };
+    let range = text.split_once("..").and_then(|(from, to)| {
+        let (from, to): (u64, u64) = (from.parse().ok()?, to.parse().ok()?);
+        Some((from..to).collect())
+    });
+    range.unwrap_or_else(|| panic!("{variable}={text} is not FROM..TO"))
+}
