Reserve the addresses of a test cluster until the process ends

A test failed at its start: "Address already in use" for the caller's address of the first host, 127.169.42.1:8080. Blocks of addresses were drawn at random, checked by a bind to port 7946 of the first host and let go, and a daemon binds 8080 first, so a second cluster of the same block passed the check meanwhile.

--- a/examples/support/cluster.rs
+++ b/examples/support/cluster.rs
@@ -52,8 +52,6 @@
 pub struct Cluster {
     pub hosts: Vec<RunningHost>,
     pub client: Client,
-    /// The addresses of the hosts, unless their settings files name them.
-    _block: Option<Block>,
 }
 
 impl Cluster {
@@ -70,13 +68,12 @@
         let block = Block::reserve()?;
         let mut running = Vec::new();
         for (position, host) in hosts.iter().enumerate() {
-            let text = settings(host, position, (&block, replicas), holders, extra, data);
+            let text = settings(host, position, (block, replicas), holders, extra, data);
             running.push(launch(host, &text).await?);
         }
         let cluster = Self {
             hosts: running,
             client: Client::new(),
-            _block: Some(block),
         };
         cluster.announce().await?;
         Ok(cluster)
@@ -113,7 +110,6 @@
         let cluster = Self {
             hosts: running,
             client: Client::new(),
-            _block: None,
         };
         cluster.announce().await?;
         Ok(cluster)
@@ -234,7 +230,7 @@
 }
 
 /// Returns the address of the host at `position` in a block.
-fn address(block: &Block, position: usize, port: u16) -> SocketAddr {
+fn address(block: Block, position: usize, port: u16) -> SocketAddr {
     let last = u8::try_from(position + 1).unwrap_or(u8::MAX);
     (block.address(last), port).into()
 }
@@ -243,7 +239,7 @@
 fn settings(
     host: &Host,
     position: usize,
-    (block, replicas): (&Block, usize),
+    (block, replicas): (Block, usize),
     holders: usize,
     extra: &str,
     data: &Path,
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -107,7 +107,6 @@
     pub seed: u64,
     options: Options,
     data: TempDir,
-    _block: Block,
     _serial_guard: MutexGuard<'static, ()>,
 }
 
@@ -127,7 +126,7 @@
         let net = Network::new(seed);
         let mut hosts = Vec::new();
         for number in 0..options.hosts {
-            hosts.push(start_host(number, &block, &options, &net, &data).await);
+            hosts.push(start_host(number, block, &options, &net, &data).await);
         }
         let mut cluster = Self {
             hosts,
@@ -137,7 +136,6 @@
             seed,
             options,
             data,
-            _block: block,
             _serial_guard: serial_guard,
         };
         for number in 0..cluster.hosts.len() {
@@ -418,7 +416,7 @@
 }
 
 /// Returns the address in a block with the last byte `last`.
-fn address(block: &Block, last: usize) -> IpAddr {
+fn address(block: Block, last: usize) -> IpAddr {
     block.address(u8::try_from(last).unwrap()).into()
 }
 
@@ -437,7 +435,7 @@
 /// Starts the target and the relays of a host and writes its settings file.
 async fn start_host(
     number: usize,
-    block: &Block,
+    block: Block,
     options: &Options,
     net: &Arc<Network>,
     data: &TempDir,
@@ -490,7 +488,7 @@
 fn settings_text(
     name: &str,
     number: usize,
-    block: &Block,
+    block: Block,
     options: &Options,
     data: &TempDir,
 ) -> String {
