--- a/tests/path.rs
+++ b/tests/path.rs
@@ -30,6 +30,23 @@
     }
 }
 
+/// The ids of the nodes of the hosts.
+async fn nodes(cluster: &Cluster) -> Vec<serde_json::Value> {
+    let mut nodes = Vec::new();
+    for host in &cluster.hosts {
+        let status = cluster
+            .client
+            .send(host.admin, "GET", "/v1/status", &[], "");
+        nodes.push(status.await.unwrap().json()["node"].take());
+    }
+    nodes
+}
+
+/// Starts a cluster and applies the rules.
+///
+/// Fails when a node was fenced meanwhile, as all of them run. When the disks of
+/// most replicas stall for longer than 3 s, every lease ends until the replicas
+/// return, so the nodes are awaited once more.
 async fn cluster(data: &std::path::Path) -> Cluster {
     let hosts = [
         host("caerdydd-1", "caerdydd", "catalogue"),
@@ -41,12 +58,18 @@
         .wait_until_ready(Duration::from_secs(20))
         .await
         .unwrap();
+    let started = nodes(&cluster).await;
     let version = cluster.apply("c0ffee", RULES).await.unwrap();
     cluster
         .wait_until_in_force(version, Duration::from_secs(5))
         .await
         .unwrap();
     cluster
+        .wait_until_ready(Duration::from_secs(20))
+        .await
+        .unwrap();
+    assert_eq!(nodes(&cluster).await, started, "a node was fenced");
+    cluster
 }
 
 /// Guards against a key that only some nodes can serve, and against a request
