--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,8 +16,8 @@
 use http::StatusCode;
 use rand::{RngExt as _, SeedableRng, rngs::StdRng};
 use support::{
-    chaos::{CONTROLS, Chaos, RECOVERY_BOUND},
     client::Client,
+    faults::{CONTROLS, Injector, RECOVERY_BOUND},
     platform::{Fleet, Host, Servers, send_request},
 };
 use tokio::time::sleep;
@@ -106,12 +106,15 @@
         })
         .collect();
 
-    let mut chaos = Chaos::new(fleet, seed);
+    let mut injector = Injector::new(fleet, seed);
     for _ in 0..FAULTS {
-        chaos.step().await;
-        sleep(Duration::from_millis(chaos.random.random_range(PAUSES_MS))).await;
+        injector.step().await;
+        sleep(Duration::from_millis(
+            injector.random.random_range(PAUSES_MS),
+        ))
+        .await;
     }
-    chaos.recover().await;
+    injector.recover().await;
     stop.store(true, Ordering::Relaxed);
     let mut served = 0;
     let mut rejected = Vec::new();
@@ -124,7 +127,7 @@
     sleep(DEADLINE).await;
 
     assert!(served > 0, "seed {seed}");
-    let observations = chaos.fleet.observations.lock().unwrap();
+    let observations = injector.fleet.observations.lock().unwrap();
     let untrue: Vec<_> = rejected
         .iter()
         .filter(|id| !id.starts_with("read") && observations.runs.contains_key(*id))
@@ -135,7 +138,7 @@
         "seed {seed}: rejected and ran: {untrue:?}"
     );
     drop(observations);
-    chaos.fleet.check();
+    injector.fleet.check();
 }
 
 /// Guards against an answer that is not the caller's own, a request that runs
--- a/tests/support/chaos.rs
+++ b/tests/support/faults.rs
@@ -32,7 +32,7 @@
 
 /// Injects overlapping faults and changes the plan meanwhile.
 #[derive(Debug)]
-pub struct Chaos {
+pub struct Injector {
     pub fleet: Fleet,
     pub random: StdRng,
     processes: Vec<Process>,
@@ -41,7 +41,7 @@
     change: Option<JoinHandle<u64>>,
 }
 
-impl Chaos {
+impl Injector {
     /// Starts to play the faults of a seed on a fleet.
     pub fn new(fleet: Fleet, seed: u64) -> Self {
         Self {
@@ -58,7 +58,7 @@
         let host = self.random.random_range(0..self.processes.len());
         match self.processes[host] {
             Process::Running if self.random.random_bool(0.25) => self.change_links(),
-            Process::Running => self.disturb(host),
+            Process::Running => self.interrupt(host),
             Process::Paused => {
                 self.fleet.hosts[host].process.as_ref().unwrap().resume();
                 self.processes[host] = Process::Running;
@@ -76,7 +76,7 @@
 
     /// Kills, pauses or stops a process that runs, unless too many control
     /// replicas would be lost.
-    fn disturb(&mut self, host: usize) {
+    fn interrupt(&mut self, host: usize) {
         let now = Instant::now();
         let is_control = host < CONTROLS;
         let lost = self.processes[..CONTROLS]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,9 +12,9 @@
 pub mod target;
 
 pub mod calls;
-pub mod chaos;
 pub mod check;
 pub mod cluster;
+pub mod faults;
 pub mod faulty;
 pub mod holds;
 pub mod platform;
