Say what the copy of a grant's success does

The comment said that it only lets a range count as held; the review showed that it also ends the wait for a grant without a response.

--- a/wisteriaglade-fleet/src/host/grants.rs
+++ b/wisteriaglade-fleet/src/host/grants.rs
@@ -147,9 +147,10 @@
         ""
     }
 
-    /// A copy of an earlier success only lets a range count as held that may not
-    /// be. A copy of a refusal would let it count as free although the target
-    /// holds it, so a refusal is accepted only where it cannot be a copy.
+    /// A refusal is accepted only where it cannot be a copy of an earlier one, which
+    /// would let a range count as free although the target holds it. A copy of an
+    /// earlier success is accepted: the grant then counts as answered, although the
+    /// target may refuse it or still apply it late.
     fn accepts(&self, head: &Parts, is_first: bool) -> bool {
         is_first || head.status.is_success()
     }
