Use one fixture for candidates and one for restarted targets in tests

Two tests of the consensus built the same candidate, and one of the planner rebuilt the report of a restarted target beside the function for it. Two comments were wider than the line.

--- a/wisteriaglade-consensus/tests/replica.rs
+++ b/wisteriaglade-consensus/tests/replica.rs
@@ -23,46 +23,48 @@
     assert_eq!(raft.since_leader_contact(SECOND), Some(Duration::ZERO));
 }
 
+/// The term for which [`candidate`] asks for votes.
+const CANDIDATE_TERM: Term = Term::new(4);
+
+/// A replica that became a candidate at 2 s.
+fn candidate() -> Raft {
+    let mut raft = restored(&[1, 3], 3);
+    step(&mut raft, 2 * SECOND, Input::Tick);
+    let message = Message::PreVoteResponse {
+        term: CANDIDATE_TERM,
+        granted: true,
+    };
+    receive(&mut raft, SECOND_REPLICA, message);
+    raft
+}
+
 /// Guards against a candidate that starts over, with another sync for every
 /// replica, because the sync of its own vote took longer than its vote timeout: it
 /// has asked for votes only since then.
 #[test]
 fn a_slow_sync_of_the_own_vote_leaves_time_for_answers() {
-    let term = Term::new(4);
-    let granted = true;
-    let mut raft = restored(&[1, 3], 3);
-    step(&mut raft, 2 * SECOND, Input::Tick);
-    receive(
-        &mut raft,
-        SECOND_REPLICA,
-        Message::PreVoteResponse { term, granted },
-    );
+    let mut raft = candidate();
     assert_eq!(raft.role(), Role::Candidate);
 
     let synced = 5 * SECOND;
     step(&mut raft, synced, Input::Tick);
-    let candidate = raft.role();
-    let message = Message::VoteResponse { term, granted };
+    let role = raft.role();
+    let message = Message::VoteResponse {
+        term: CANDIDATE_TERM,
+        granted: true,
+    };
     let from = SECOND_REPLICA;
     let answered = synced + SECOND / 10;
     step(&mut raft, answered, Input::Message { from, message });
 
-    assert_eq!(candidate, Role::Candidate);
+    assert_eq!(role, Role::Candidate);
     assert_eq!(raft.role(), Role::Leader);
 }
 
 /// Guards against a candidate that waits without end for votes.
 #[test]
 fn a_candidate_without_votes_starts_over() {
-    let term = Term::new(4);
-    let granted = true;
-    let mut raft = restored(&[1, 3], 3);
-    step(&mut raft, 2 * SECOND, Input::Tick);
-    receive(
-        &mut raft,
-        SECOND_REPLICA,
-        Message::PreVoteResponse { term, granted },
-    );
+    let mut raft = candidate();
 
     step(&mut raft, 5 * SECOND, Input::Tick);
     step(&mut raft, 6 * SECOND, Input::Tick);
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -170,8 +170,8 @@
 }
 
 impl Inner {
-    /// Removes a request and stores its outcome for repeated offers. An answer is not stored if its body is large or
-    /// the request may run again.
+    /// Removes a request and stores its outcome for repeated offers. An answer is
+    /// not stored if its body is large or the request may run again.
     fn remove_job(&mut self, id: u64, now: Duration, outcome: Option<&Outcome>) -> Option<Job> {
         let job = self.jobs.remove(&id)?;
         self.job_ids.remove(&job.offer_id);
--- a/wisteriaglade-mesh/tests/planner.rs
+++ b/wisteriaglade-mesh/tests/planner.rs
@@ -132,12 +132,8 @@
     let mut roster = Roster::new(at(0));
     roster.report(at(10_000), report("h", 1, Some("i-1")));
     roster.record_lease(at(10_000), &owner("i-1"));
-    let mut restarted = report("h", 1, Some("i-1"));
-    if let Some(target) = &mut restarted.target {
-        target.owner.started_ms = 2;
-    }
 
-    roster.report(at(10_100), restarted);
+    roster.report(at(10_100), restarted_report("h", 1, "i-1"));
     let commands = planner.step(at(10_110), &state, &roster);
 
     let revoke = Command::Revoke {
--- a/wisteriaglade-node/src/work/dispatch.rs
+++ b/wisteriaglade-node/src/work/dispatch.rs
@@ -215,8 +215,8 @@
 }
 
 /// Builds the request for the target, with the headers for the epoch, the id of
-/// the request, the shard, the pool, the member and the remaining time in milliseconds. Refuses
-/// it if the deadline has passed.
+/// the request, the shard, the pool, the member and the remaining time in
+/// milliseconds. Refuses it if the deadline has passed.
 fn target_request(
     context: &Context,
     job: &mut Job,
