Log and count what a target names as its limit and what it gets

Neither logs nor metrics could tell whether a host knows the limit, forgets it, or exceeds it by repeats. The adapter now decodes the two headers, and the host of the target logs once a second the limit, the requests sent and those refused, and has gauges and counters of them. No decision changes.

--- a/wisteriaglade-fleet/src/dialect.rs
+++ b/wisteriaglade-fleet/src/dialect.rs
@@ -6,7 +6,7 @@
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
-use http::{Method, Uri};
+use http::{HeaderMap, Method, Uri};
 use wisteriaglade_mesh::{Call as RangeCall, Grant, Plan, Span};
 use wisteriaglade_types::Name;
 
@@ -36,6 +36,18 @@
     /// Recognizes a call on the control address. Returns `None` for an unknown one.
     fn call(method: &Method, uri: &Uri) -> Option<Call>;
 
+    /// Decodes the rate limit that a target names in the headers of a response: the
+    /// requests per second that it takes from all hosts together. `None` if it
+    /// names none.
+    ///
+    /// # Errors
+    ///
+    /// When the value is not a decimal number of at least 0.
+    fn decode_rate_limit(headers: &HeaderMap) -> Result<Option<f64>>;
+
+    /// Whether a target says in the headers of a response that it is leaving.
+    fn is_leaving(headers: &HeaderMap) -> bool;
+
     /// Decodes a heartbeat of the target with the given id.
     ///
     /// # Errors
--- a/wisteriaglade-fleet/src/host.rs
+++ b/wisteriaglade-fleet/src/host.rs
@@ -17,6 +17,7 @@
 mod grants;
 mod heartbeats;
 mod ingress;
+mod notice;
 mod outcomes;
 mod peers;
 mod ready;
@@ -52,6 +53,7 @@
     settings::{Beside, GrantChannel},
 };
 use admission::Admission;
+use notice::LimitLog;
 use peers::Peers;
 use shutdown::{Shutdown, Step};
 use target::Client;
@@ -114,6 +116,8 @@
     grant_client: Client,
     /// The requests that wait or run at the host's own target.
     admission: Admission,
+    /// What was last logged about the limit that the target names.
+    limit_log: Mutex<LimitLog>,
     /// The links to other hosts.
     peers: Peers,
     /// What is known of the load of targets; ranks them for a request.
@@ -164,6 +168,7 @@
         grant_client: Client::new(sidecar.target),
         admission: Admission::new(sidecar.target),
         peers: Peers::new(hello.clone(), clock, shutdown_done.clone()),
+        limit_log: Mutex::default(),
         view: RwLock::default(),
         view_changed: Notify::new(),
         report_now: Notify::new(),
@@ -243,6 +248,7 @@
         let now = self.clock.now();
         self.expire::<D>();
         self.peers.tick(now);
+        self.log_limit(now);
         let mut tracker = lock(&self.tracker);
         if tracker.tick(now) {
             drop(tracker);
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -22,7 +22,7 @@
 use http_body_util::Full;
 use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
 use tracing::{info, warn};
-use wisteriaglade_mesh::{Arrival, Completion, Condition, Effect, Load, Queue, Reason};
+use wisteriaglade_mesh::{Arrival, Completion, Condition, Effect, Load, Notice, Queue, Reason};
 use wisteriaglade_types::Name;
 
 use super::{
@@ -139,6 +139,11 @@
         lock(&self.inner).queue.resize(slots);
     }
 
+    /// Sets what the target last said of itself.
+    pub(super) fn set_notice(&self, notice: Notice) {
+        lock(&self.inner).queue.set_notice(notice);
+    }
+
     /// Whether no request runs or waits.
     pub(super) fn is_idle(&self) -> bool {
         lock(&self.inner).jobs.is_empty()
@@ -421,6 +426,7 @@
                     Reuse::Recent
                 };
                 let matching = ById::<D>::new(&offer.request);
+                self.metrics.target_requests.inc();
                 let call = self.admission.target.call(request, reuse, &matching);
                 match timeout(left + RESPONSE_GRACE, call).await {
                     Ok(result) => result,
@@ -436,6 +442,9 @@
         let now = self.clock.now();
         let took = now.saturating_sub(start);
         self.metrics.target_time.observe(took.as_secs_f64());
+        if let Ok(response) = &result {
+            self.hear_target::<D>(response.headers());
+        }
         let (finish, outcome) = self.classify::<D>(offer, result, took, waited);
         if finish != Completion::Done {
             info!(
@@ -535,6 +544,7 @@
         let (head, body) = response.into_parts();
         let not_run = head.headers.contains_key(D::NOT_RUN);
         if not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
+            self.metrics.target_refusals.inc();
             let reason = match head.status {
                 StatusCode::MISDIRECTED_REQUEST if offer.key.is_some() => Reason::NotHolder,
                 StatusCode::MISDIRECTED_REQUEST => Reason::NotTarget,
--- a/wisteriaglade-fleet/src/host/heartbeats.rs
+++ b/wisteriaglade-fleet/src/host/heartbeats.rs
@@ -78,6 +78,7 @@
             return Self::error_response(StatusCode::CONFLICT, "a newer heartbeat is known");
         };
         host.admission.resize(heartbeat.slots);
+        host.update_notice();
         host.grants_due.notify_one();
         if report_now {
             let view = read(&host.view);
--- /dev/null
+++ b/wisteriaglade-fleet/src/host/notice.rs
@@ -0,0 +1,85 @@
+//! What the host's own target says of itself in the headers of its responses.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use tracing::{info, warn};
+use wisteriaglade_mesh::Notice;
+
+use super::Host;
+use crate::{Dialect, lock};
+
+/// The interval of log lines while the target names a limit.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// One in this many malformed limits is logged.
+const MALFORMED_LOG_INTERVAL: u64 = 64;
+
+/// What the last log line about the target's limit said.
+#[derive(Debug, Default)]
+pub(super) struct LimitLog {
+    at: Duration,
+    /// The requests that had been sent to the target by then.
+    sent: u64,
+    /// Those of them that it had refused.
+    refused: u64,
+    /// Whether the target named a limit.
+    limited: bool,
+}
+
+impl Host {
+    /// Takes what the target says of itself in the headers of a response. A limit
+    /// that cannot be decoded leaves the known one in force.
+    pub(super) fn hear_target<D: Dialect>(&self, headers: &HeaderMap) {
+        let rate_limit = match D::decode_rate_limit(headers) {
+            Ok(rate_limit) => rate_limit,
+            Err(error) => {
+                let earlier = self.metrics.malformed_limits.inc();
+                if earlier.is_multiple_of(MALFORMED_LOG_INTERVAL) {
+                    warn!(event = "limit-malformed", reason = %error, earlier);
+                }
+                lock(&self.tracker).notice().rate_limit
+            }
+        };
+        let leaving = D::is_leaving(headers);
+        lock(&self.tracker).apply_notice(Notice {
+            rate_limit,
+            leaving,
+        });
+        self.update_notice();
+    }
+
+    /// Passes what is known of the target to the queue and to the gauges.
+    pub(super) fn update_notice(&self) {
+        let notice = lock(&self.tracker).notice();
+        self.admission.set_notice(notice);
+        self.metrics.set_notice(notice);
+    }
+
+    /// Logs the limit of the target and the requests that it got, once a second
+    /// while it names one and once when the limit has ended.
+    pub(super) fn log_limit(&self, now: Duration) {
+        let Notice { rate_limit, .. } = lock(&self.tracker).notice();
+        let mut last = lock(&self.limit_log);
+        if now.saturating_sub(last.at) < LOG_INTERVAL {
+            return;
+        }
+        let sent = self.metrics.target_requests.get();
+        let refused = self.metrics.target_refusals.get();
+        if rate_limit.is_some() || last.limited {
+            info!(
+                event = "target-limit",
+                limit = rate_limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string()),
+                after_ms = now.saturating_sub(last.at).as_millis(),
+                sent = sent - last.sent,
+                refused = refused - last.refused
+            );
+        }
+        *last = LimitLog {
+            at: now,
+            sent,
+            refused,
+            limited: rate_limit.is_some(),
+        };
+    }
+}
--- a/wisteriaglade-fleet/src/host/tracker.rs
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -8,8 +8,8 @@
 
 use tracing::info;
 use wisteriaglade_mesh::{
-    Allotment, Condition, Grant, Grantor, Issuer, KeyRates, Keyspace, Order, Owner, Response,
-    TargetReport,
+    Allotment, Condition, Grant, Grantor, Issuer, KeyRates, Keyspace, Notice, Order, Owner,
+    Response, TargetReport,
 };
 use wisteriaglade_types::Name;
 
@@ -102,6 +102,8 @@
     /// Since when it has been draining.
     draining_since: Option<Duration>,
     condition: Condition,
+    /// What it last said of itself in an answer.
+    notice: Notice,
 }
 
 impl Tracker {
@@ -141,6 +143,24 @@
         Some(now.saturating_sub(since))
     }
 
+    /// Returns what the target says of itself in its answers.
+    pub(super) fn notice(&self) -> Notice {
+        self.state
+            .as_ref()
+            .map_or_else(Notice::default, |state| state.notice)
+    }
+
+    /// Takes what the target says of itself in an answer.
+    pub(super) fn apply_notice(&mut self, notice: Notice) {
+        let Some(state) = &mut self.state else {
+            return;
+        };
+        if notice.leaving && !state.notice.leaving {
+            info!(event = "target-says-leaving", target = %state.owner.target);
+        }
+        state.notice = notice;
+    }
+
     /// Whether the target holds a key.
     pub(super) fn holds(&self, now: Duration, key: u16) -> bool {
         match &self.grants {
@@ -240,6 +260,7 @@
                 last_heartbeat: now,
                 draining_since: None,
                 condition: Condition::Ready,
+                notice: Notice::default(),
             });
         }
         let state = self.state.as_mut()?;
--- a/wisteriaglade-fleet/src/metrics.rs
+++ b/wisteriaglade-fleet/src/metrics.rs
@@ -1,6 +1,9 @@
 //! The metrics of a process and the HTTP service that exposes them.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicU64},
+};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -12,6 +15,7 @@
     registry::Registry,
 };
 use tracing::warn;
+use wisteriaglade_mesh::Notice;
 
 use crate::server::Service;
 
@@ -58,6 +62,11 @@
     pub(crate) latency: Histogram,
     pub(crate) queue_time: Histogram,
     pub(crate) target_time: Histogram,
+    pub(crate) target_requests: Counter,
+    pub(crate) target_refusals: Counter,
+    pub(crate) target_limit: Gauge<f64, AtomicU64>,
+    pub(crate) target_leaving: Gauge,
+    pub(crate) malformed_limits: Counter,
     pub(crate) running: Gauge,
     pub(crate) waiting: Gauge,
     pub(crate) plan_version: Gauge,
@@ -83,6 +92,11 @@
             latency: latency(),
             queue_time: latency(),
             target_time: latency(),
+            target_requests: Counter::default(),
+            target_refusals: Counter::default(),
+            target_limit: Gauge::default(),
+            target_leaving: Gauge::default(),
+            malformed_limits: Counter::default(),
             running: Gauge::default(),
             waiting: Gauge::default(),
             plan_version: Gauge::default(),
@@ -105,7 +119,54 @@
         self.unheld_ranges.set(count(unheld));
     }
 
+    /// Sets what the target says of itself in its answers.
+    pub(crate) fn set_notice(&self, notice: Notice) {
+        self.target_limit.set(notice.rate_limit.unwrap_or(-1.0));
+        self.target_leaving.set(notice.leaving.into());
+    }
+
+    /// Registers the metrics of the host's own target.
+    fn register_target(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "target_requests",
+            "Requests sent to the target",
+            self.target_requests.clone(),
+        );
+        registry.register(
+            "target_refusals",
+            "Requests that the target itself refused",
+            self.target_refusals.clone(),
+        );
+        registry.register(
+            "target_limit_per_second",
+            "Requests per second that the target takes; -1 if it names no limit",
+            self.target_limit.clone(),
+        );
+        registry.register(
+            "target_leaving",
+            "Whether the target is leaving",
+            self.target_leaving.clone(),
+        );
+        registry.register(
+            "malformed_limits",
+            "Answers of the target with a limit that cannot be decoded",
+            self.malformed_limits.clone(),
+        );
+        registry.register(
+            "target_running",
+            "Requests that the target runs",
+            self.running.clone(),
+        );
+        registry.register(
+            "target_waiting",
+            "Requests that wait for the target",
+            self.waiting.clone(),
+        );
+    }
+
     fn register(&mut self) {
+        self.register_target();
         let registry = &mut self.registry;
         registry.register("requests", "Requests of callers", self.requests.clone());
         registry.register(
@@ -138,16 +199,6 @@
             "Time of the target",
             self.target_time.clone(),
         );
-        registry.register(
-            "target_running",
-            "Requests that the target runs",
-            self.running.clone(),
-        );
-        registry.register(
-            "target_waiting",
-            "Requests that wait for the target",
-            self.waiting.clone(),
-        );
         registry.register(
             "plan_version",
             "The plan in force",
--- a/wisteriaglade-mesh/src/lib.rs
+++ b/wisteriaglade-mesh/src/lib.rs
@@ -73,6 +73,7 @@
 mod key_rates;
 mod keyspace;
 mod nesting;
+mod notice;
 mod owner;
 mod plan;
 mod plan_error;
@@ -97,6 +98,7 @@
     issuer::{Call, Issuer, Order, Response},
     key_rates::KeyRates,
     keyspace::Keyspace,
+    notice::Notice,
     owner::Owner,
     plan::{Destination, Limits, Plan, Pool, Rule},
     plan_error::PlanError,
--- a/wisteriaglade-mesh/src/queue.rs
+++ b/wisteriaglade-mesh/src/queue.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use wisteriaglade_types::Name;
 
-use crate::nesting::Nesting;
+use crate::{Notice, nesting::Nesting};
 
 /// The weight of a new sample in an exponential moving average.
 const MEAN_GAIN: f64 = 0.1;
@@ -151,6 +151,8 @@
     pub limit: u32,
     /// The moving average of the execution time of a request.
     pub mean: Duration,
+    /// What the target last said of itself.
+    pub notice: Notice,
 }
 
 /// The position of a waiting request in the queue: nested requests come first,
@@ -204,6 +206,8 @@
     /// When the last request completed, if all slots were in use before and
     /// after it.
     last_completion: Option<Duration>,
+    /// What the target last said of itself.
+    notice: Notice,
 }
 
 impl Queue {
@@ -220,6 +224,7 @@
             mean_s: DEFAULT_MEAN.as_secs_f64(),
             completion_interval_s: 0.0,
             last_completion: None,
+            notice: Notice::default(),
         }
     }
 
@@ -228,6 +233,11 @@
         self.slots = slots.max(1);
     }
 
+    /// Sets what the target last said of itself.
+    pub fn set_notice(&mut self, notice: Notice) {
+        self.notice = notice;
+    }
+
     /// Returns the current load of the target.
     #[must_use]
     pub fn load(&self) -> Load {
@@ -236,6 +246,7 @@
             waiting: saturating_u32(self.waiting.len()),
             limit: self.capacity(),
             mean: Duration::from_secs_f64(self.mean_s),
+            notice: self.notice,
         }
     }
 
--- a/wisteriaglade-mesh/tests/balancer.rs
+++ b/wisteriaglade-mesh/tests/balancer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wisteriaglade_mesh::{Balancer, Candidate, Load};
+use wisteriaglade_mesh::{Balancer, Candidate, Load, Notice};
 
 const NOW: Duration = Duration::from_secs(10);
 
@@ -25,6 +25,7 @@
     {
         balancer.request_sent(&candidate);
         let load = Load {
+            notice: Notice::default(),
             running,
             waiting: 0,
             limit: 4,
