--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -17,6 +17,7 @@
 pub mod faults;
 pub mod faulty;
 pub mod holds;
+pub mod load;
 pub mod platform;
 pub mod process;
 pub mod proxy;
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -23,7 +23,7 @@
     wait_for,
 };
 
-pub use super::server::Servers;
+pub use super::server::{Arrival, Servers};
 
 pub(super) const CONTROL_PORT: u16 = 8620;
 const CALLERS_PORT: u16 = 8629;
@@ -362,6 +362,33 @@
         controls.map(Host::control)
     }
 
+    /// Sets the headers that the answers of the server on a host carry besides the
+    /// usual ones.
+    pub fn set_headers(&self, host: usize, headers: &[(&'static str, &'static str)]) {
+        let mut observations = self.observations.lock().unwrap();
+        let id = self.server_id(host);
+        observations.headers.insert(id, headers.to_vec());
+    }
+
+    /// Sets the time that the server on a host works on a request.
+    pub fn set_work_time(&self, host: usize, time: Duration) {
+        let mut observations = self.observations.lock().unwrap();
+        observations.work_times.insert(self.server_id(host), time);
+    }
+
+    /// Returns the requests that reached the server on a host, in order.
+    pub fn arrivals(&self, host: usize) -> Vec<Arrival> {
+        let observations = self.observations.lock().unwrap();
+        let server = self.server_id(host);
+        let arrivals = observations.arrivals.iter();
+        let own = arrivals.filter(|arrival| arrival.server == server);
+        own.cloned().collect()
+    }
+
+    fn server_id(&self, host: usize) -> String {
+        format!("i-{}", self.hosts[host].address)
+    }
+
     /// Sends one request through a host and returns the status and the body.
     pub async fn request(
         &self,
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -64,6 +64,14 @@
     /// The number of times that a request arrived whose fault depends on it, by
     /// request id.
     pub offers: HashMap<String, u32>,
+    /// The headers that the answers of a server carry besides the usual ones, by its
+    /// id.
+    pub headers: HashMap<String, Vec<(&'static str, &'static str)>>,
+    /// The time that a server works on a request if it is not [`WORK_TIME`], by its
+    /// id.
+    pub work_times: HashMap<String, Duration>,
+    /// The requests that reached a server, in order.
+    pub arrivals: Vec<Arrival>,
     /// The number of connections that a faulty server accepted.
     pub connections: u32,
     /// Descriptions of violated invariants.
@@ -72,6 +80,16 @@
     holders: BTreeMap<u16, Holder>,
 }
 
+/// A request that reached a server.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub at: Instant,
+    /// The id of the server.
+    pub server: String,
+    /// The id of the request.
+    pub request: String,
+}
+
 /// A server that holds a key, its fencing token and the end of its hold.
 #[derive(Debug)]
 struct Holder {
@@ -157,6 +175,17 @@
             return self.answer_range_call(request).await;
         }
         let now = Instant::now();
+        let (headers, work_time) = {
+            let mut observations = self.observations.lock().unwrap();
+            observations.arrivals.push(Arrival {
+                at: now,
+                server: self.id.clone(),
+                request: id.clone(),
+            });
+            let work_time = observations.work_times.get(&self.id).copied();
+            let headers = observations.headers.get(&self.id).cloned();
+            (headers.unwrap_or_default(), work_time.unwrap_or(WORK_TIME))
+        };
         let holds = key.is_some_and(|key| {
             if let Some(holds) = &self.holds {
                 return holds.contains(key);
@@ -181,17 +210,22 @@
             .or_default() += 1;
         let body = request.into_body().collect().await;
         match (&self.holds, key) {
-            (Some(holds), Some(key)) => holds.run(key, sleep(WORK_TIME)).await,
-            _ => sleep(WORK_TIME).await,
+            (Some(holds), Some(key)) => holds.run(key, sleep(work_time)).await,
+            _ => sleep(work_time).await,
         }
         let text = format!(
             "{id} by {} {}",
             self.id,
             body.map_or(0, |b| b.to_bytes().len())
         );
-        Response::builder()
+        let response = Response::builder()
             .header("x-wisteriaglade-request-id", &id)
-            .header("x-wisteriaglade-response-seal", format!("seal-{id}"))
+            .header("x-wisteriaglade-response-seal", format!("seal-{id}"));
+        headers
+            .into_iter()
+            .fold(response, |response, (name, value)| {
+                response.header(name, value)
+            })
             .body(Full::new(Bytes::from(text)))
             .unwrap()
     }
