Offer a request with a key to other targets where keys have no owner

The key header decided whether a request had another target, also in pools that are not divided by keys. A refused or failed request with a key was then rejected there although another target had room. Only the keys of divided pools bind a request to one target now.

--- a/wisteriaglade-fleet/src/host/exchange.rs
+++ b/wisteriaglade-fleet/src/host/exchange.rs
@@ -142,6 +142,8 @@
 struct Attempts {
     /// The target of the last offer.
     last_target: Option<Name>,
+    /// Whether only the holder of the request's key may run it.
+    is_keyed: bool,
     /// Targets that failed or rejected the request and are not offered it again.
     excluded: Vec<Name>,
     /// The number of offers made.
@@ -210,6 +212,7 @@
                 return attempts.finish(exchange, now);
             }
             let key = exchange.key.filter(|_| read(&self.view).is_sharded(pool));
+            attempts.is_keyed = key.is_some();
             let entry = match key {
                 Some(key) => self.find_holder(exchange, pool, key, attempts).await,
                 None => self.choose_target(exchange, pool, attempts),
@@ -376,7 +379,7 @@
                 attempts.sent += 1;
                 lock(&self.balancer).set_nested(exchange.kind, answer.nested);
                 let is_error = answer.status >= MIN_SERVER_ERROR;
-                if !is_error || exchange.key.is_some() || !self.may_repeat(exchange, pool, attempts)
+                if !is_error || attempts.is_keyed || !self.may_repeat(exchange, pool, attempts)
                 {
                     return Step::Finish(Resolution::Answer(answer));
                 }
@@ -396,7 +399,7 @@
                             .unwrap_or(Resolution::Failed(detail)),
                     );
                 }
-                if exchange.key.is_none() {
+                if !attempts.is_keyed {
                     attempts.excluded.push(target.clone());
                 }
                 attempts.fallback = Some(Resolution::Failed(detail));
@@ -423,7 +426,7 @@
                 if by_target && !lock(&self.retry_budget).try_withdraw(pool) {
                     return Step::Finish(attempts.finish(exchange, now));
                 }
-                if by_target && exchange.key.is_some() {
+                if by_target && attempts.is_keyed {
                     attempts.shed += 1;
                     if attempts.shed <= SHED_RETRIES.0 {
                         attempts.excluded.clear();
@@ -431,7 +434,7 @@
                     }
                 }
                 attempts.late += u32::from(reason == Reason::Late && load.limit > 0);
-                if attempts.late >= MAX_LATE || (attempts.late > 0 && exchange.key.is_some()) {
+                if attempts.late >= MAX_LATE || (attempts.late > 0 && attempts.is_keyed) {
                     return Step::Finish(attempts.finish(exchange, now));
                 }
                 Step::Retry
