Tell a replaced process the limit of its target

The process beside a target forgot the limit when it was replaced, while the hosts where requests begin had passed it on and were not. They now remember what each run of a target last said of itself and send it with each offer; a process that has had no answer of its target takes the lowest limit it is told. A process that does not know its target yet says so in the loads that it reports, so that nobody forgets because of it.

--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -393,7 +393,8 @@
         released: Mutex::default(),
         seq: Mutex::new(0),
     });
-    let listener = TcpListener::bind((address, SERVER_PORT)).await.unwrap();
+    let listener = TcpListener::bind((address, SERVER_PORT)).await;
+    let listener = listener.unwrap_or_else(|error| panic!("{address}:{SERVER_PORT}: {error}"));
     tokio::spawn(async move {
         let heartbeats = async {
             let client = Client::new();
--- a/wisteriaglade-fleet/src/frame.rs
+++ b/wisteriaglade-fleet/src/frame.rs
@@ -9,7 +9,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use wisteriaglade_consensus::Message;
-use wisteriaglade_mesh::{Change, Directory, Load, Owner, Plan, Reason, Report};
+use wisteriaglade_mesh::{Change, Directory, Load, Notice, Owner, Plan, Reason, Report};
 use wisteriaglade_types::Name;
 
 /// A message between two processes of the fleet.
@@ -160,6 +160,9 @@
     /// Whether the request may queue when the target has no free slot. Otherwise
     /// it is rejected, and the sender tries another target.
     pub(crate) may_queue: bool,
+    /// What the target last said of itself in an answer that the sender passed on. A
+    /// process that has replaced the one beside the target learns it from here.
+    pub(crate) notice: Notice,
     /// Milliseconds until the objective of the rule is missed.
     pub(crate) objective: u32,
     /// Milliseconds until the caller no longer waits for the answer.
@@ -209,6 +212,17 @@
     },
 }
 
+impl Outcome {
+    /// Returns the load of the target; `None` if the target's host did not report it.
+    pub(crate) fn load(&self) -> Option<Load> {
+        let load = match self {
+            Self::Answer(answer) => answer.load,
+            Self::Rejected { load, .. } | Self::Unknown { load, .. } => *load,
+        };
+        (load.limit > 0).then_some(load)
+    }
+}
+
 /// The response of a target, with measurements of the request.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Answer {
--- a/wisteriaglade-fleet/src/host.rs
+++ b/wisteriaglade-fleet/src/host.rs
@@ -41,7 +41,7 @@
 };
 use tokio_util::sync::CancellationToken;
 use tracing::info;
-use wisteriaglade_mesh::{Balancer, Report, RetryBudget};
+use wisteriaglade_mesh::{Balancer, Notices, Report, RetryBudget};
 use wisteriaglade_wire::Clock;
 
 use crate::{
@@ -116,6 +116,9 @@
     grant_client: Client,
     /// The requests that wait or run at the host's own target.
     admission: Admission,
+    /// What targets have said of themselves in answers to requests of callers on this
+    /// host.
+    notices: Mutex<Notices>,
     /// What was last logged about the limit that the target names.
     limit_log: Mutex<LimitLog>,
     /// The links to other hosts.
@@ -168,6 +171,7 @@
         grant_client: Client::new(sidecar.target),
         admission: Admission::new(sidecar.target),
         peers: Peers::new(hello.clone(), clock, shutdown_done.clone()),
+        notices: Mutex::default(),
         limit_log: Mutex::default(),
         view: RwLock::default(),
         view_changed: Notify::new(),
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -139,8 +139,8 @@
         lock(&self.inner).queue.resize(slots);
     }
 
-    /// Sets what the target last said of itself.
-    pub(super) fn set_notice(&self, now: Duration, notice: Notice) {
+    /// Sets what the target last said of itself; `None` if it is not known.
+    pub(super) fn set_notice(&self, now: Duration, notice: Option<Notice>) {
         lock(&self.inner).queue.set_notice(now, notice);
     }
 
@@ -216,6 +216,9 @@
     ) {
         let now = self.clock.now();
         let refusal = self.refusal(now, &offer);
+        if !matches!(refusal, Some((Reason::NotTarget, _))) {
+            self.learn_notice(offer.notice);
+        }
         let mut inner = lock(&self.admission.inner);
         if let Some(id) = inner.job_ids.get(&offer_id).copied() {
             if let Some(job) = inner.jobs.get_mut(&id) {
--- a/wisteriaglade-fleet/src/host/exchange.rs
+++ b/wisteriaglade-fleet/src/host/exchange.rs
@@ -226,6 +226,7 @@
             attempts.last_target = Some(target.clone());
             let in_flight = InFlight::new(self, &target);
             let outcome = self.send_offer::<D>(&entry, offer).await;
+            self.record_notice(&entry, &outcome);
             in_flight.complete(&outcome);
             match self.next_step(exchange, pool, &target, outcome, attempts) {
                 Step::Finish(resolution) => return resolution,
@@ -330,12 +331,22 @@
             caller: self.sidecar.pool.clone(),
             repeatable: rule.idempotent,
             may_queue,
+            notice: lock(&self.notices).of(&entry.owner),
             objective: left(exchange.received + rule.objective),
             deadline: left(exchange.deadline),
             content: Some(exchange.content.clone()),
         }
     }
 
+    /// Records what a target said of itself, as its host reports it with the outcome
+    /// of an offer.
+    fn record_notice(&self, entry: &Entry, outcome: &Outcome) {
+        if let Some(notice) = outcome.load().and_then(|load| load.notice) {
+            let now = self.clock.now();
+            lock(&self.notices).record(now, &entry.owner, notice);
+        }
+    }
+
     /// Sends an offer to the host of its target and waits for the outcome.
     /// Dropping the future cancels the request.
     async fn send_offer<D: Dialect>(self: &Arc<Self>, entry: &Entry, offer: Offer) -> Outcome {
@@ -515,11 +526,7 @@
 
     fn complete(mut self, outcome: &Outcome) {
         self.is_complete = true;
-        let load = match outcome {
-            Outcome::Answer(answer) => answer.load,
-            Outcome::Rejected { load, .. } | Outcome::Unknown { load, .. } => *load,
-        };
-        let load = (load.limit > 0).then_some(load);
+        let load = outcome.load();
         let now = self.host.clock.now();
         let mut balancer = lock(&self.host.balancer);
         balancer.request_ended(now, self.target, load);
--- a/wisteriaglade-fleet/src/host/notice.rs
+++ b/wisteriaglade-fleet/src/host/notice.rs
@@ -1,13 +1,13 @@
 //! What the host's own target says of itself in the headers of its responses.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use http::HeaderMap;
 use tracing::{info, warn};
 use wisteriaglade_mesh::Notice;
 
 use super::Host;
-use crate::{Dialect, lock};
+use crate::{Dialect, lock, read};
 
 /// The interval of log lines while the target names a limit.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -38,7 +38,8 @@
                 if earlier.is_multiple_of(MALFORMED_LOG_INTERVAL) {
                     warn!(event = "limit-malformed", reason = %error, earlier);
                 }
-                lock(&self.tracker).notice().rate_limit
+                let known = lock(&self.tracker).notice();
+                known.and_then(|notice| notice.rate_limit)
             }
         };
         let leaving = D::is_leaving(headers);
@@ -49,17 +50,33 @@
         self.update_notice();
     }
 
+    /// Takes what the sender of an offer knows of the target, unless the target has
+    /// answered this process.
+    pub(super) fn learn_notice(&self, notice: Notice) {
+        if lock(&self.tracker).learn_notice(notice) {
+            self.update_notice();
+        }
+    }
+
+    /// Forgets what targets have said that no longer run.
+    pub(super) fn forget_notices(&self, now: Duration) {
+        let view = read(&self.view);
+        let listed: HashSet<_> = view.all_targets().map(|entry| &entry.owner).collect();
+        lock(&self.notices).retain(now, |owner| listed.contains(owner));
+    }
+
     /// Passes what is known of the target to the queue and to the gauges.
     pub(super) fn update_notice(&self) {
         let notice = lock(&self.tracker).notice();
         self.admission.set_notice(self.clock.now(), notice);
-        self.metrics.set_notice(notice);
+        self.metrics.set_notice(notice.unwrap_or_default());
     }
 
     /// Logs the limit of the target and the requests that it got, once a second
     /// while it names one and once when the limit has ended.
     pub(super) fn log_limit(&self, now: Duration) {
-        let Notice { rate_limit, .. } = lock(&self.tracker).notice();
+        let notice = lock(&self.tracker).notice();
+        let rate_limit = notice.and_then(|notice| notice.rate_limit);
         let mut last = lock(&self.limit_log);
         if now.saturating_sub(last.at) < LOG_INTERVAL {
             return;
--- a/wisteriaglade-fleet/src/host/tracker.rs
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -102,8 +102,10 @@
     /// Since when it has been draining.
     draining_since: Option<Duration>,
     condition: Condition,
-    /// What it last said of itself in an answer.
-    notice: Notice,
+    /// What it last said of itself in an answer, if that is known.
+    notice: Option<Notice>,
+    /// Whether it has answered this process.
+    has_answered: bool,
 }
 
 impl Tracker {
@@ -143,11 +145,10 @@
         Some(now.saturating_sub(since))
     }
 
-    /// Returns what the target says of itself in its answers.
-    pub(super) fn notice(&self) -> Notice {
-        self.state
-            .as_ref()
-            .map_or_else(Notice::default, |state| state.notice)
+    /// Returns what the target says of itself in its answers; `None` if it has not
+    /// answered this process and no other host has told it.
+    pub(super) fn notice(&self) -> Option<Notice> {
+        self.state.as_ref()?.notice
     }
 
     /// Takes what the target says of itself in an answer.
@@ -155,10 +156,32 @@
         let Some(state) = &mut self.state else {
             return;
         };
-        if notice.leaving && !state.notice.leaving {
+        if notice.leaving && !state.notice.unwrap_or_default().leaving {
             info!(event = "target-says-leaving", target = %state.owner.target);
         }
-        state.notice = notice;
+        state.notice = Some(notice);
+        state.has_answered = true;
+    }
+
+    /// Takes what the target said of itself in an answer that another host passed on.
+    /// Has no effect once the target has answered this process. Returns whether
+    /// something new was learned.
+    pub(super) fn learn_notice(&mut self, notice: Notice) -> bool {
+        let Some(state) = self.state.as_mut().filter(|state| !state.has_answered) else {
+            return false;
+        };
+        let known = state.notice.unwrap_or_default();
+        let lower = notice
+            .rate_limit
+            .filter(|rate| known.rate_limit.is_none_or(|known| *rate < known));
+        if lower.is_some() {
+            info!(event = "target-limit-learned", target = %state.owner.target, limit = lower);
+            state.notice = Some(Notice {
+                rate_limit: lower,
+                ..known
+            });
+        }
+        lower.is_some()
     }
 
     /// Whether the target holds a key.
@@ -260,7 +283,8 @@
                 last_heartbeat: now,
                 draining_since: None,
                 condition: Condition::Ready,
-                notice: Notice::default(),
+                notice: None,
+                has_answered: false,
             });
         }
         let state = self.state.as_mut()?;
--- a/wisteriaglade-fleet/src/host/uplink.rs
+++ b/wisteriaglade-fleet/src/host/uplink.rs
@@ -250,6 +250,7 @@
         host.grants_due.notify_one();
         host.peers.retain(&addresses);
         let now = host.clock.now();
+        host.forget_notices(now);
         if lock(&host.tracker).lease_left(now).is_zero() {
             // The leader gives no lease to a host that lacks key ranges which this
             // directory may have brought.
--- a/wisteriaglade-mesh/src/lib.rs
+++ b/wisteriaglade-mesh/src/lib.rs
@@ -74,6 +74,7 @@
 mod keyspace;
 mod nesting;
 mod notice;
+mod notices;
 mod owner;
 mod plan;
 mod plan_error;
@@ -100,6 +101,7 @@
     key_rates::KeyRates,
     keyspace::Keyspace,
     notice::Notice,
+    notices::Notices,
     owner::Owner,
     plan::{Destination, Limits, Plan, Pool, Rule},
     plan_error::PlanError,
--- a/wisteriaglade-mesh/src/queue.rs
+++ b/wisteriaglade-mesh/src/queue.rs
@@ -158,8 +158,8 @@
     pub mean: Duration,
     /// How long the next request would wait for the limit that the target names.
     pub limit_wait: Duration,
-    /// What the target last said of itself.
-    pub notice: Notice,
+    /// What the target last said of itself; `None` if its host does not know it yet.
+    pub notice: Option<Notice>,
 }
 
 /// The position of a waiting request in the queue: nested requests come first,
@@ -213,8 +213,8 @@
     /// When the last request completed, if all slots were in use before and
     /// after it.
     last_completion: Option<Duration>,
-    /// What the target last said of itself.
-    notice: Notice,
+    /// What the target last said of itself, if it is known.
+    notice: Option<Notice>,
     throttle: Throttle,
 }
 
@@ -232,7 +232,7 @@
             mean_s: DEFAULT_MEAN.as_secs_f64(),
             completion_interval_s: 0.0,
             last_completion: None,
-            notice: Notice::default(),
+            notice: None,
             throttle: Throttle::default(),
         }
     }
@@ -242,10 +242,11 @@
         self.slots = slots.max(1);
     }
 
-    /// Sets what the target last said of itself.
-    pub fn set_notice(&mut self, now: Duration, notice: Notice) {
+    /// Sets what the target last said of itself; `None` if it is not known.
+    pub fn set_notice(&mut self, now: Duration, notice: Option<Notice>) {
         self.notice = notice;
-        self.throttle.set_rate(now, notice.rate_limit);
+        let rate_limit = notice.and_then(|notice| notice.rate_limit);
+        self.throttle.set_rate(now, rate_limit);
     }
 
     /// Returns the load of the target at `now`.
--- a/wisteriaglade-mesh/tests/balancer.rs
+++ b/wisteriaglade-mesh/tests/balancer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wisteriaglade_mesh::{Balancer, Candidate, Load, Notice};
+use wisteriaglade_mesh::{Balancer, Candidate, Load};
 
 const NOW: Duration = Duration::from_secs(10);
 
@@ -26,7 +26,7 @@
         balancer.request_sent(&candidate);
         let load = Load {
             limit_wait: Duration::ZERO,
-            notice: Notice::default(),
+            notice: None,
             running,
             waiting: 0,
             limit: 4,
--- a/wisteriaglade-mesh/tests/queue.rs
+++ b/wisteriaglade-mesh/tests/queue.rs
@@ -181,7 +181,7 @@
 /// Returns a queue with six slots for a target that names a limit.
 fn limited_queue(rate: f64) -> Queue {
     let mut queue = Queue::new(6);
-    queue.set_notice(Duration::ZERO, limit(Some(rate)));
+    queue.set_notice(Duration::ZERO, Some(limit(Some(rate))));
     queue
 }
 
@@ -280,7 +280,7 @@
         waited: at(9)
     }));
 
-    queue.set_notice(at(10), limit(None));
+    queue.set_notice(at(10), Some(limit(None)));
     queue.start_waiting(at(10), &mut effects);
 
     assert!(effects.contains(&Effect::Start {
@@ -295,7 +295,7 @@
 fn a_request_that_others_overtake_under_a_limit_is_rejected_at_once() {
     let mut queue = queue_with_known_kinds();
     queue.resize(6);
-    queue.set_notice(at(20_000), limit(Some(10.0)));
+    queue.set_notice(at(20_000), Some(limit(Some(10.0))));
     let mut effects = Vec::new();
     queue.arrive(at(20_000), arrival(1, LONG, "ledger", 20_000), &mut effects);
     let waiting = Arrival {
