Send nothing to a target that has said in an answer that it is leaving

A target that leaves says so in its answers, also when its heartbeats do not, when the control group is out of reach, or when the process beside it has been replaced. Hosts learned of it from the directory alone and went on sending.

Each host now remembers the mark for each run of a target whose answers it passed on. It prefers targets that stay, and after 0.4 of the drain time sends the marked one nothing more, whatever the directory says; so keys have time to move. A request whose key has no successor in sight (no leader known, or no target that stays) is rejected at once. The host of the target treats the mark like an announcement by heartbeat, and a process that replaces it learns the mark from the offers of the others.

a_target_that_says_it_is_leaving_gets_no_more_requests and keyed_requests_to_a_leaving_target_without_a_successor_are_refused_at_once failed before and pass.

--- a/wisteriaglade-fleet/src/host.rs
+++ b/wisteriaglade-fleet/src/host.rs
@@ -107,6 +107,8 @@
     view_changed: Notify,
     /// The state of the host's own target.
     tracker: Mutex<Tracker>,
+    /// Whether a control leader has answered and is not known to be lost.
+    has_leader: AtomicBool,
     /// Notified when a report should be sent to the leader immediately.
     report_now: Notify,
     /// Notified when calls that grant or release key ranges may be due.
@@ -175,6 +177,7 @@
         limit_log: Mutex::default(),
         view: RwLock::default(),
         view_changed: Notify::new(),
+        has_leader: AtomicBool::new(false),
         report_now: Notify::new(),
         balancer: Mutex::default(),
         retry_budget: Mutex::new(RetryBudget::new(repeats.ratio * RETRY_BUDGET_SHARE, 1.0)),
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -56,7 +56,7 @@
 
 /// The fraction of the drain time in which a draining target still takes new
 /// requests.
-const DRAIN_ACCEPT_RATIO: f64 = 0.4;
+pub(super) const DRAIN_ACCEPT_RATIO: f64 = 0.4;
 
 /// Where the outcome of a request is sent.
 #[derive(Debug)]
--- a/wisteriaglade-fleet/src/host/exchange.rs
+++ b/wisteriaglade-fleet/src/host/exchange.rs
@@ -252,6 +252,10 @@
         let end = (exchange.received + wait).min(exchange.deadline);
         loop {
             let holder = read(&self.view).holder(pool, key).cloned();
+            let (holder, leaving) = match holder {
+                Some(entry) if !self.may_offer(self.clock.now(), &entry) => (None, true),
+                holder => (holder, false),
+            };
             if let Some(entry) = holder {
                 let refused = attempts.excluded.last() == Some(&entry.owner.target);
                 let is_moving =
@@ -265,9 +269,13 @@
                 // The range is moving; the target may hold it by now.
                 attempts.excluded.clear();
             }
-            attempts.reason.get_or_insert(Reason::NoTarget);
+            attempts.reason.get_or_insert(if leaving {
+                Reason::Draining
+            } else {
+                Reason::NoTarget
+            });
             attempts.retry_after = Some(HOLDER_RETRY_AFTER);
-            if self.clock.now() >= end {
+            if self.clock.now() >= end || (leaving && !self.has_successor(pool)) {
                 return None;
             }
             let changed = self.view_changed.notified();
@@ -286,11 +294,16 @@
     ) -> Option<(Entry, bool)> {
         let now = self.clock.now();
         let view = read(&self.view);
-        let entries: Vec<&Entry> = view
+        let mut entries: Vec<&Entry> = view
             .targets(pool)
             .iter()
             .filter(|entry| entry.ready && !attempts.excluded.contains(&entry.owner.target))
+            .filter(|entry| self.may_offer(now, entry))
             .collect();
+        let stays = |entry: &&Entry| !lock(&self.notices).of(&entry.owner).leaving;
+        if entries.iter().any(stays) {
+            entries.retain(stays);
+        }
         let own_data_centre = &self.settings.data_centre;
         let candidates: Vec<Candidate> = entries
             .iter()
--- a/wisteriaglade-fleet/src/host/notice.rs
+++ b/wisteriaglade-fleet/src/host/notice.rs
@@ -1,12 +1,13 @@
 //! What the host's own target says of itself in the headers of its responses.
 
-use std::{collections::HashSet, time::Duration};
+use std::{collections::HashSet, sync::atomic::Ordering, time::Duration};
 
 use http::HeaderMap;
 use tracing::{info, warn};
-use wisteriaglade_mesh::Notice;
+use wisteriaglade_mesh::{Entry, Notice};
+use wisteriaglade_types::Name;
 
-use super::Host;
+use super::{Host, admission::DRAIN_ACCEPT_RATIO};
 use crate::{Dialect, lock, read};
 
 /// The interval of log lines while the target names a limit.
@@ -43,19 +44,43 @@
             }
         };
         let leaving = D::is_leaving(headers);
-        lock(&self.tracker).apply_notice(Notice {
+        let notice = Notice {
             rate_limit,
             leaving,
-        });
+        };
+        if lock(&self.tracker).apply_notice(self.clock.now(), notice) {
+            self.report_now.notify_one();
+        }
         self.update_notice();
     }
 
-    /// Takes what the sender of an offer knows of the target, unless the target has
-    /// answered this process.
+    /// Takes what the sender of an offer knows of the target.
     pub(super) fn learn_notice(&self, notice: Notice) {
-        if lock(&self.tracker).learn_notice(notice) {
-            self.update_notice();
+        if notice == Notice::default() {
+            return;
         }
+        if lock(&self.tracker).learn_notice(self.clock.now(), notice) {
+            self.report_now.notify_one();
+        }
+        self.update_notice();
+    }
+
+    /// Whether a target may be sent requests: it has not said that it is leaving, or
+    /// only a moment ago, which leaves time for its keys to move.
+    pub(super) fn may_offer(&self, now: Duration, entry: &Entry) -> bool {
+        let limit = self.settings.drain.mul_f64(DRAIN_ACCEPT_RATIO);
+        let leaving_for = lock(&self.notices).leaving_for(now, &entry.owner);
+        leaving_for.is_none_or(|time| time <= limit)
+    }
+
+    /// Whether the keys of a target that is leaving can get another holder soon: a
+    /// control leader is known, and the pool has a target that stays.
+    pub(super) fn has_successor(&self, pool: &Name) -> bool {
+        let view = read(&self.view);
+        let notices = lock(&self.notices);
+        let mut targets = view.targets(pool).iter();
+        self.has_leader.load(Ordering::Relaxed)
+            && targets.any(|entry| entry.ready && !notices.of(&entry.owner).leaving)
     }
 
     /// Forgets what targets have said that no longer run.
--- a/wisteriaglade-fleet/src/host/tracker.rs
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -108,6 +108,22 @@
     has_answered: bool,
 }
 
+impl TargetState {
+    /// Records that the target finishes its work and then ends. `source` tells how it
+    /// became known. Returns whether that is new.
+    fn start_draining(&mut self, now: Duration, source: &'static str) -> bool {
+        let is_new = self.draining_since.is_none();
+        if is_new {
+            info!(event = "target-draining", target = %self.owner.target, source);
+            self.draining_since = Some(now);
+        }
+        if self.condition == Condition::Ready {
+            self.condition = Condition::Draining;
+        }
+        is_new
+    }
+}
+
 impl Tracker {
     /// Creates the tracker of a host process that starts at `now`.
     pub(super) fn new(settings: &Settings, now: Duration) -> Self {
@@ -148,28 +164,38 @@
     /// Returns what the target says of itself in its answers; `None` if it has not
     /// answered this process and no other host has told it.
     pub(super) fn notice(&self) -> Option<Notice> {
-        self.state.as_ref()?.notice
+        let state = self.state.as_ref()?;
+        if state.draining_since.is_none() {
+            return state.notice;
+        }
+        Some(Notice {
+            leaving: true,
+            ..state.notice.unwrap_or_default()
+        })
     }
 
-    /// Takes what the target says of itself in an answer.
-    pub(super) fn apply_notice(&mut self, notice: Notice) {
+    /// Takes what the target says of itself in an answer. Returns whether a report
+    /// should be sent to the leader immediately.
+    pub(super) fn apply_notice(&mut self, now: Duration, notice: Notice) -> bool {
         let Some(state) = &mut self.state else {
-            return;
+            return false;
         };
-        if notice.leaving && !state.notice.unwrap_or_default().leaving {
-            info!(event = "target-says-leaving", target = %state.owner.target);
-        }
         state.notice = Some(notice);
         state.has_answered = true;
+        notice.leaving && state.start_draining(now, "answer")
     }
 
     /// Takes what the target said of itself in an answer that another host passed on.
-    /// Has no effect once the target has answered this process. Returns whether
-    /// something new was learned.
-    pub(super) fn learn_notice(&mut self, notice: Notice) -> bool {
-        let Some(state) = self.state.as_mut().filter(|state| !state.has_answered) else {
+    /// Once the target has answered this process, only its leaving is learned. Returns
+    /// whether a report should be sent to the leader immediately.
+    pub(super) fn learn_notice(&mut self, now: Duration, notice: Notice) -> bool {
+        let Some(state) = &mut self.state else {
             return false;
         };
+        let report_now = notice.leaving && state.start_draining(now, "other-host");
+        if state.has_answered {
+            return report_now;
+        }
         let known = state.notice.unwrap_or_default();
         let lower = notice
             .rate_limit
@@ -181,7 +207,7 @@
                 ..known
             });
         }
-        lower.is_some()
+        report_now
     }
 
     /// Whether the target holds a key.
@@ -306,11 +332,10 @@
         } else {
             Condition::Ready
         };
-        if is_draining && state.draining_since.is_none() {
-            info!(event = "target-draining", target = %owner.target);
-            state.draining_since = Some(now);
-        }
         report_now |= state.condition != condition;
+        if is_draining {
+            state.start_draining(now, "heartbeat");
+        }
         state.condition = condition;
         let grant = match &mut self.grants {
             Grants::Heartbeat(grantor) => grantor.heartbeat(
--- a/wisteriaglade-fleet/src/host/uplink.rs
+++ b/wisteriaglade-fleet/src/host/uplink.rs
@@ -8,7 +8,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::Ordering},
     time::Duration,
 };
 
@@ -150,6 +150,7 @@
 
     /// Closes the current link and opens one to `next`.
     fn switch_to(&self, inner: &mut Option<ReplicaLink>, next: Option<SocketAddr>, now: Duration) {
+        self.host.has_leader.store(false, Ordering::Relaxed);
         let Some(address) = next else {
             warn!(
                 event = "no-replicas",
@@ -189,6 +190,7 @@
             return;
         };
         replica.is_leader = false;
+        self.host.has_leader.store(false, Ordering::Relaxed);
         match leader {
             Some(leader) if leader != replica.address => {
                 self.switch_to(&mut inner, Some(leader), now);
@@ -213,6 +215,7 @@
         replica.last_heard = now;
         if !replica.is_leader {
             replica.is_leader = true;
+            self.host.has_leader.store(true, Ordering::Relaxed);
             info!(event = "leader-found", replica = %replica.address);
         }
         drop(inner);
