Place key ranges by the limit that a target names

A target with a limit kept the keys that its slots and its speed can serve, so that requests for them were rejected while others of its pool had room. Its host now reports the limit, and the planner takes the lower of both as the capacity.

keys_move_away_from_a_target_that_names_a_limit failed before (no move) and passes.

--- a/wisteriaglade-fleet/src/host/tracker.rs
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -418,6 +418,7 @@
             condition: state.condition,
             released: self.grants.allotment().released().to_vec(),
             mean_ms,
+            rate_limit: state.notice.and_then(|notice| notice.rate_limit),
             key_rates: self.key_rates.summary(),
         })
     }
--- a/wisteriaglade-mesh/src/planner.rs
+++ b/wisteriaglade-mesh/src/planner.rs
@@ -11,7 +11,10 @@
 
 use wisteriaglade_types::Name;
 
-use crate::{Command, Condition, Keyspace, Owner, Pool, Roster, Span, State, TargetReport};
+use crate::{
+    Command, Condition, Keyspace, Owner, Pool, Roster, Span, State, TargetReport,
+    throttle::MIN_RATE,
+};
 
 /// The number of ranges that each target of a new pool gets. Busy keys lie close
 /// together, so neighbouring ranges go to different targets. The answer to a
@@ -552,14 +555,17 @@
 }
 
 /// Returns the rate that a target can serve, in requests per second: its slots
-/// divided by the mean time of a request.
+/// divided by the mean time of a request, or the limit that it names if that is lower.
 fn capacity(target: &TargetReport) -> f64 {
     let mean = if target.mean_ms == 0 {
         DEFAULT_MEAN_MS
     } else {
         f64::from(target.mean_ms)
     };
-    f64::from(target.slots.max(1)) * 1000.0 / mean
+    let rate = f64::from(target.slots.max(1)) * 1000.0 / mean;
+    target
+        .rate_limit
+        .map_or(rate, |limit| rate.min(limit.max(MIN_RATE)))
 }
 
 /// Converts the rate in a report, in requests per ten seconds, to requests per
--- a/wisteriaglade-mesh/src/report.rs
+++ b/wisteriaglade-mesh/src/report.rs
@@ -42,6 +42,8 @@
     /// The mean execution time of a request in milliseconds; 0 if none was
     /// measured yet.
     pub mean_ms: u32,
+    /// The requests per second that it takes, if it names a limit.
+    pub rate_limit: Option<f64>,
     /// Spans of keys that had requests, each with its rate in requests per ten
     /// seconds.
     pub key_rates: Vec<(Span, u32)>,
--- a/wisteriaglade-mesh/tests/one_holder.rs
+++ b/wisteriaglade-mesh/tests/one_holder.rs
@@ -556,6 +556,7 @@
             condition,
             released: host.issuer.allotment.released().to_vec(),
             mean_ms: 100,
+            rate_limit: None,
             key_rates: Vec::new(),
         });
         let report = Report {
--- a/wisteriaglade-mesh/tests/planner.rs
+++ b/wisteriaglade-mesh/tests/planner.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use rstest::rstest;
 use wisteriaglade_mesh::{
     Command, Condition, Owner, Plan, Planner, Pool, Report, Roster, Span, State, TargetReport,
 };
@@ -64,6 +65,7 @@
             condition: Condition::Ready,
             released: Vec::new(),
             mean_ms: 100,
+            rate_limit: None,
             key_rates: Vec::new(),
         }),
     }
@@ -353,6 +355,40 @@
     );
 }
 
+/// Sets the limit that a target names in the report of its host.
+fn set_limit(roster: &mut Roster, host: &str, rate_limit: f64) {
+    let received = roster
+        .reports()
+        .find(|received| received.report.host.as_str() == host);
+    let mut report = received.expect("a report of the host").report.clone();
+    if let Some(target) = &mut report.target {
+        target.rate_limit = Some(rate_limit);
+    }
+    roster.report(at(1_050), report);
+}
+
+/// Guards against a target that keeps its share of the keys although it names a
+/// limit far below its share of the load, also one of 0.
+#[rstest]
+#[case::low(10.0)]
+#[case::zero(0.0)]
+fn keys_move_away_from_a_target_that_names_a_limit(#[case] limit: f64) {
+    let (state, mut roster) = three_targets(&even_load(25), [100, 100, 100]);
+    set_limit(&mut roster, "a", limit);
+
+    let commands = Planner::new(LEASE).step(at(1_100), &state, &roster);
+
+    let [Command::Move { moves, .. }] = commands.as_slice() else {
+        panic!("expected one move command, got {commands:?}");
+    };
+    assert!(!moves.is_empty());
+    assert!(
+        moves
+            .iter()
+            .all(|(span, to)| span.from < 21_846 && *to != owner("i-1"))
+    );
+}
+
 /// Guards against moving a hot key, which gets most of the requests of its
 /// target and would only move the overload. The target's other keys move.
 #[test]
--- a/wisteriaglade-mesh/tests/targets.rs
+++ b/wisteriaglade-mesh/tests/targets.rs
@@ -33,6 +33,7 @@
             condition,
             released: Vec::new(),
             mean_ms: 100,
+            rate_limit: None,
             key_rates: Vec::new(),
         }),
     }
