Show the limit of a target in the trace of a request, and play limits in the soak

The line of a failed, late or sampled request names the limit and the leaving state of the target that was last offered it.

--- a/tests/support/faults.rs
+++ b/tests/support/faults.rs
@@ -17,6 +17,16 @@
 /// The bound for a fleet to serve after its start or after the last fault.
 pub const RECOVERY_BOUND: Duration = Duration::from_secs(15);
 
+/// The limits that servers name, some of them malformed.
+const LIMITS: [Option<&str>; 6] = [
+    None,
+    Some("0"),
+    Some("2.5"),
+    Some("40"),
+    Some("-1"),
+    Some("x"),
+];
+
 /// The time in which a process ends after SIGTERM.
 const STOP_BOUND: Duration = Duration::from_secs(8);
 
@@ -58,6 +68,7 @@
         let host = self.random.random_range(0..self.processes.len());
         match self.processes[host] {
             Process::Running if self.random.random_bool(0.25) => self.change_links(),
+            Process::Running if self.random.random_bool(0.2) => self.change_limit(),
             Process::Running => self.interrupt(host),
             Process::Paused => {
                 self.fleet.hosts[host].process.as_ref().unwrap().resume();
@@ -123,6 +134,15 @@
         self.fleet.inject_fault(host, fault);
     }
 
+    /// Changes the limit that the server on a host names.
+    fn change_limit(&mut self) {
+        let host = self.random.random_range(CONTROLS..self.processes.len());
+        let limit = LIMITS[self.random.random_range(0..LIMITS.len())];
+        println!("limit {limit:?} of the server on host {host}");
+        let header = limit.map(|limit| ("server-limit", limit));
+        self.fleet.set_headers(host, header.as_slice());
+    }
+
     async fn restart(&mut self, host: usize) {
         let process = &mut self.fleet.hosts[host];
         process.process.take().unwrap().wait(STOP_BOUND).await;
@@ -154,6 +174,7 @@
             }
             if host >= CONTROLS {
                 self.fleet.inject_fault(host, LinkFault::None);
+                self.fleet.set_headers(host, &[]);
             }
         }
         if let Some(change) = self.change.take() {
--- a/wisteriaglade-fleet/src/host/exchange.rs
+++ b/wisteriaglade-fleet/src/host/exchange.rs
@@ -11,7 +11,7 @@
     time::{sleep, timeout},
 };
 use tracing::info;
-use wisteriaglade_mesh::{Candidate, Entry, Load, Reason, Rule};
+use wisteriaglade_mesh::{Candidate, Entry, Load, Notice, Reason, Rule};
 use wisteriaglade_types::Name;
 
 use super::{
@@ -133,6 +133,8 @@
     pub(super) resolution: Resolution,
     /// The target of the last offer.
     pub(super) target: Option<Name>,
+    /// What that target last said of itself.
+    pub(super) notice: Notice,
     /// The number of offers made.
     pub(super) offers: usize,
 }
@@ -142,6 +144,8 @@
 struct Attempts {
     /// The target of the last offer.
     last_target: Option<Name>,
+    /// What that target last said of itself.
+    notice: Notice,
     /// Whether only the holder of the request's key may run it.
     is_keyed: bool,
     /// Targets that failed or rejected the request and are not offered it again.
@@ -193,6 +197,7 @@
         Summary {
             resolution,
             target: attempts.last_target,
+            notice: attempts.notice,
             offers: attempts.offers,
         }
     }
@@ -227,6 +232,7 @@
             let in_flight = InFlight::new(self, &target);
             let outcome = self.send_offer::<D>(&entry, offer).await;
             self.record_notice(&entry, &outcome);
+            attempts.notice = lock(&self.notices).of(&entry.owner);
             in_flight.complete(&outcome);
             match self.next_step(exchange, pool, &target, outcome, attempts) {
                 Step::Finish(resolution) => return resolution,
--- a/wisteriaglade-fleet/src/host/ingress.rs
+++ b/wisteriaglade-fleet/src/host/ingress.rs
@@ -159,6 +159,7 @@
         let Summary {
             resolution,
             target,
+            notice,
             offers,
         } = summary;
         let outcome = resolution.label();
@@ -178,6 +179,8 @@
                 outcome,
                 detail = %resolution.detail(),
                 target = target.as_deref().unwrap_or("none"),
+                target_limit = notice.rate_limit,
+                target_leaving = notice.leaving,
                 offers,
                 took_ms = took.as_millis(),
                 left_ms = exchange.caller_deadline.saturating_sub(now).as_millis(),
