Let nested requests wait for a limit when no other target has room

A request that a target makes as part of another one was rejected as soon as it would wait a third of its time for the limit of its target, at all of them; the request that waited for it then failed with 500 and its work was lost. It now asks two targets for a short wait and may wait as long as its deadline allows at the third, with twice its mean time left after the wait. Waiting requests start at the moment at which the limit allows it, no longer at the next tick of 50 ms, which cost a third of the time of short requests.

--- a/wisteriaglade-fleet/src/frame.rs
+++ b/wisteriaglade-fleet/src/frame.rs
@@ -160,6 +160,9 @@
     /// Whether the request may queue when the target has no free slot. Otherwise
     /// it is rejected, and the sender tries another target.
     pub(crate) may_queue: bool,
+    /// Whether the sender tries another target if this one could take the request only
+    /// after a while.
+    pub(crate) has_alternative: bool,
     /// What the target last said of itself in an answer that the sender passed on. A
     /// process that has replaced the one beside the target learns it from here.
     pub(crate) notice: Notice,
--- a/wisteriaglade-fleet/src/host.rs
+++ b/wisteriaglade-fleet/src/host.rs
@@ -220,6 +220,7 @@
         shutdown_done.clone(),
     )?;
     tokio::spawn(uplink::run(Arc::clone(&host)));
+    tokio::spawn(Arc::clone(&host).start_limited::<D>());
     if host.settings.grants == GrantChannel::Call {
         tokio::spawn(grants::run::<D>(Arc::clone(&host)));
     }
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -20,7 +20,11 @@
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, response::Parts};
 use http_body_util::Full;
-use tokio::{sync::oneshot, task::AbortHandle, time::timeout};
+use tokio::{
+    sync::{Notify, oneshot},
+    task::AbortHandle,
+    time::timeout,
+};
 use tracing::{info, warn};
 use wisteriaglade_mesh::{Arrival, Completion, Condition, Effect, Load, Notice, Queue, Reason};
 use wisteriaglade_types::Name;
@@ -58,6 +62,10 @@
 /// requests.
 pub(super) const DRAIN_ACCEPT_RATIO: f64 = 0.4;
 
+/// The shortest interval between two looks at the requests that wait for the limit
+/// of the target.
+const MIN_START_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Where the outcome of a request is sent.
 #[derive(Debug)]
 pub(super) enum Reply {
@@ -102,6 +110,8 @@
 pub(super) struct Admission {
     target: Client,
     inner: Mutex<Inner>,
+    /// Notified when a request may wait for the limit that the target names.
+    limit_changed: Notify,
 }
 
 /// The part of [`Admission`] that is locked.
@@ -123,6 +133,7 @@
     pub(super) fn new(target: SocketAddr) -> Self {
         Self {
             target: Client::new(target),
+            limit_changed: Notify::new(),
             inner: Mutex::new(Inner {
                 queue: Queue::new(1),
                 jobs: HashMap::new(),
@@ -250,7 +261,7 @@
             objective: now + Duration::from_millis(offer.objective.into()),
             deadline: now + left,
             may_wait: offer.may_queue,
-            has_alternative: offer.key.is_none(),
+            has_alternative: offer.has_alternative,
         };
         inner.job_ids.insert(offer_id, id);
         inner.jobs.insert(
@@ -272,6 +283,9 @@
             None => inner.queue.arrive(now, arrival, &mut effects),
         }
         self.apply_effects::<D>(now, &mut inner, effects);
+        if inner.queue.limit_wait(now).is_some() {
+            self.admission.limit_changed.notify_one();
+        }
     }
 
     /// Checks whether a request may be queued at all. Returns the reason for a
@@ -328,6 +342,23 @@
         self.apply_effects::<D>(now, &mut inner, effects);
     }
 
+    /// Starts waiting requests at the moments at which the limit of the target allows
+    /// it, until the process ends.
+    pub(super) async fn start_limited<D: Dialect>(self: Arc<Self>) {
+        while !self.stop.is_cancelled() {
+            let wait = lock(&self.admission.inner)
+                .queue
+                .limit_wait(self.clock.now());
+            let changed = self.admission.limit_changed.notified();
+            match wait {
+                // A new request may come before the others.
+                Some(wait) => drop(timeout(wait.max(MIN_START_INTERVAL), changed).await),
+                None => changed.await,
+            }
+            self.tick_admission::<D>();
+        }
+    }
+
     /// Rejects waiting requests that can no longer be answered in time, starts those
     /// that the target's limit allows by now, closes idle connections and updates the
     /// load gauges.
--- a/wisteriaglade-fleet/src/host/exchange.rs
+++ b/wisteriaglade-fleet/src/host/exchange.rs
@@ -34,6 +34,11 @@
 /// long.
 const MAX_LATE: u32 = 2;
 
+/// The number of targets that may decline a request because of their limits before
+/// the next one lets a nested request wait as long as its deadline allows: rejecting
+/// it would waste the work on the request that it is part of.
+const MAX_LIMITED: u32 = 2;
+
 /// The highest number of offers for one request. Each rejection costs a round
 /// trip.
 const MAX_OFFERS: usize = 6;
@@ -158,6 +163,8 @@
     shed: u32,
     /// The number of targets at which it would wait too long.
     late: u32,
+    /// The number of targets whose limit it would have to wait for.
+    limited: u32,
     /// The shortest Retry-After of the rejections.
     retry_after: Option<Duration>,
     /// The reason of the last rejection.
@@ -226,7 +233,8 @@
                 return attempts.finish(exchange, self.clock.now());
             };
             attempts.offers += 1;
-            let offer = self.build_offer(exchange, &entry, key, may_queue);
+            let mut offer = self.build_offer(exchange, &entry, key, may_queue);
+            offer.has_alternative = key.is_none() && attempts.limited < MAX_LIMITED;
             let target = entry.owner.target.clone();
             attempts.last_target = Some(target.clone());
             let in_flight = InFlight::new(self, &target);
@@ -350,6 +358,7 @@
             caller: self.sidecar.pool.clone(),
             repeatable: rule.idempotent,
             may_queue,
+            has_alternative: false,
             notice: lock(&self.notices).of(&entry.owner),
             objective: left(exchange.received + rule.objective),
             deadline: left(exchange.deadline),
@@ -464,6 +473,7 @@
                 }
                 attempts.late += u32::from(reason == Reason::Late && load.limit > 0);
                 let is_limited = reason == Reason::Limited;
+                attempts.limited += u32::from(is_limited);
                 let has_no_other = attempts.is_keyed && (attempts.late > 0 || is_limited);
                 if attempts.late >= MAX_LATE || has_no_other {
                     return Step::Finish(attempts.finish(exchange, now));
--- a/wisteriaglade-mesh/src/queue.rs
+++ b/wisteriaglade-mesh/src/queue.rs
@@ -28,6 +28,12 @@
 /// them late.
 const MAX_WAIT_RATIO: f64 = 0.35;
 
+/// The time, as a multiple of the mean time of a request, that has to be left to its
+/// deadline when the limit of the target lets it start. The start comes neither
+/// sooner nor later than expected, so without a margin half of the requests that just
+/// fit would be cut off.
+const LIMITED_WORK_RATIO: f64 = 2.0;
+
 /// The number of waiting requests whose body is fetched in advance. On a slow
 /// link a body takes tens of milliseconds, during which a slot would be idle.
 const PREFETCH_COUNT: usize = 4;
@@ -300,7 +306,10 @@
         let limit_wait = self.throttle.wait(now, ahead);
         let wait = slot_wait.max(limit_wait);
         let is_limited = limit_wait > slot_wait;
-        let work = self.mean_of(arrival.kind);
+        let mut work = self.mean_of(arrival.kind);
+        if is_limited {
+            work = work.mul_f64(LIMITED_WORK_RATIO);
+        }
         let is_full = self.waiting.len() >= self.capacity() as usize * MAX_WAITING_PER_SLOT;
         // Rejecting a nested request fails the request that waits for it, and
         // the work already done for that one is lost.
@@ -465,8 +474,17 @@
         }
     }
 
+    /// Returns the time until the limit of the target lets the next waiting request
+    /// start; `None` if no request waits for it.
+    #[must_use]
+    pub fn limit_wait(&self, now: Duration) -> Option<Duration> {
+        let has_slot = self.running.len() < self.capacity() as usize;
+        (has_slot && !self.waiting.is_empty()).then(|| self.throttle.wait(now, 0))
+    }
+
     /// Starts waiting requests while slots are free and the limit of the target
-    /// allows it. Call it about every 50 ms while requests wait.
+    /// allows it. Call it about every 50 ms while requests wait, and when the time of
+    /// [`Queue::limit_wait`] has passed.
     pub fn start_waiting(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         self.expire(now, effects);
         while !self.waiting.is_empty()
--- a/wisteriaglade-mesh/src/throttle.rs
+++ b/wisteriaglade-mesh/src/throttle.rs
@@ -15,10 +15,6 @@
 /// callers wait longer.
 const MAX_RETURN: Duration = Duration::from_secs(5);
 
-/// The interval at which the caller of the queue starts waiting requests, if none
-/// ends meanwhile.
-const START_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Limits the rate at which requests start at a target that names a limit.
 ///
 /// A token bucket: each start takes a token, and tokens come back at the rate of the
@@ -69,8 +65,7 @@
         if missing <= 0.0 {
             return Duration::ZERO;
         }
-        let wait = Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX);
-        wait.saturating_add(START_INTERVAL)
+        Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX)
     }
 
     /// Returns after what time a refused caller should come back: not before `wait`
--- a/wisteriaglade-mesh/tests/queue.rs
+++ b/wisteriaglade-mesh/tests/queue.rs
@@ -320,3 +320,34 @@
         "{effects:?}"
     );
 }
+
+/// Guards against nested work that is rejected because of a limit although it would
+/// start before its deadline and no other target has room: the request that waits for
+/// it would fail.
+#[rstest]
+#[case::another_target_may_have_room(true, false)]
+#[case::no_other_target_has_room(false, true)]
+fn nested_work_waits_for_a_limit_if_no_other_target_has_room(
+    #[case] has_alternative: bool,
+    #[case] waits: bool,
+) {
+    let mut queue = queue_with_known_kinds();
+    queue.resize(6);
+    queue.set_notice(at(20_000), Some(limit(Some(4.0))));
+    let mut effects = Vec::new();
+    queue.arrive(at(20_000), arrival(1, LONG, "ledger", 20_000), &mut effects);
+    effects.clear();
+
+    let nested = Arrival {
+        has_alternative,
+        ..arrival(2, SHORT, "catalogue", 20_001)
+    };
+    queue.arrive(at(20_001), nested, &mut effects);
+
+    let is_rejected = effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Reject { id: 2, .. }));
+    assert_eq!(is_rejected, !waits, "{effects:?}");
+    let next = queue.limit_wait(at(20_001));
+    assert_eq!(next.is_some(), waits, "{next:?}");
+}
