Reject waiting requests whose key has moved

A request that waited at the owner of its key was sent to it also after the key had moved to another target, which then refused it. The longer waits under a limit made that common: where the refusal carries no id, a charge ended with 502.

--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -230,6 +230,28 @@
     fleet.check();
 }
 
+/// Guards against requests that wait for the limit of the owner of their key and reach
+/// it after the key has moved to another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_waiting_request_does_not_reach_the_former_owner_of_its_key() {
+    let fleet = keyed_fleet(236).await;
+    fleet.set_headers(1, &[("server-limit", "3")]);
+
+    let load = Load::start(&fleet, &HOSTS, "charge", "limit", 60);
+    sleep(Duration::from_secs(8)).await;
+    let calls = load.stop().await;
+
+    let failed: Vec<_> = calls
+        .iter()
+        .filter(|call| call.status == StatusCode::BAD_GATEWAY)
+        .collect();
+    assert!(failed.is_empty(), "{failed:?}");
+    let refused = fleet.observations.lock().unwrap().misdirected;
+    assert_eq!(refused, 0, "requests to a target without their key");
+    check_refusals(&fleet, &calls);
+    fleet.check();
+}
+
 /// Guards against requests to a target that has said in an answer that it is
 /// leaving, from a host that has passed this answer on: while the control group is
 /// out of reach, and after the target's own host has been replaced. Its heartbeats
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -72,6 +72,9 @@
     pub work_times: HashMap<String, Duration>,
     /// The requests that reached a server, in order.
     pub arrivals: Vec<Arrival>,
+    /// The number of requests that a server refused because it is another one or does
+    /// not hold their key.
+    pub misdirected: u32,
     /// The number of connections that a faulty server accepted.
     pub connections: u32,
     /// Descriptions of violated invariants.
@@ -195,6 +198,7 @@
                 .any(|(from, to, _, until)| (*from..=*to).contains(&key) && *until > now)
         });
         if expected.is_some_and(|expected| expected != self.id) || (self.sharded && !holds) {
+            self.observations.lock().unwrap().misdirected += 1;
             return Response::builder()
                 .status(StatusCode::MISDIRECTED_REQUEST)
                 .header("x-wisteriaglade-not-executed", "1")
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -369,13 +369,36 @@
         let load = inner.queue.load(now);
         self.metrics.running.set(load.running.into());
         self.metrics.waiting.set(load.waiting.into());
+        drop(inner);
         if load.waiting > 0 {
+            self.reject_lost_keys::<D>(now);
+            let mut inner = lock(&self.admission.inner);
             let mut effects = Vec::new();
             inner.queue.start_waiting(now, &mut effects);
             self.apply_effects::<D>(now, &mut inner, effects);
         }
     }
 
+    /// Rejects waiting requests whose key the target has ceased to hold.
+    pub(super) fn reject_lost_keys<D: Dialect>(self: &Arc<Self>, now: Duration) {
+        let mut inner = lock(&self.admission.inner);
+        let tracker = lock(&self.tracker);
+        let waiting = inner.jobs.iter().filter(|(_, job)| job.task.is_none());
+        let lost: Vec<u64> = waiting
+            .filter(|(_, job)| job.offer.key.is_some_and(|key| !tracker.holds(now, key)))
+            .map(|(id, _)| *id)
+            .collect();
+        drop(tracker);
+        let (reason, retry) = (Reason::NotHolder, self.settings.beat);
+        let mut effects = Vec::new();
+        for id in lost {
+            if inner.queue.cancel(id) {
+                effects.push(Effect::Reject { id, reason, retry });
+            }
+        }
+        self.apply_effects::<D>(now, &mut inner, effects);
+    }
+
     /// Carries out the decisions of the queue.
     fn apply_effects<D: Dialect>(
         self: &Arc<Self>,
--- a/wisteriaglade-fleet/src/host/heartbeats.rs
+++ b/wisteriaglade-fleet/src/host/heartbeats.rs
@@ -79,6 +79,7 @@
         };
         host.admission.resize(heartbeat.slots);
         host.update_notice();
+        host.reject_lost_keys::<D>(now);
         host.grants_due.notify_one();
         if report_now {
             let view = read(&host.view);
