--- a/examples/support/target.rs
+++ b/examples/support/target.rs
@@ -13,7 +13,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -63,6 +63,10 @@
     pub shed: bool,
     /// Time added to the service time of each request.
     pub slow: Duration,
+    /// The requests per second that responses name as the limit of the target.
+    pub limit: Option<&'static str>,
+    /// Whether responses say that the target is leaving.
+    pub leaving: bool,
 }
 
 /// A running target that listens on a loopback port.
@@ -137,8 +141,16 @@
     async fn serve_with_id(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let id = request.headers().get("wg-request").cloned();
         let mut response = self.serve(request).await;
+        let headers = response.headers_mut();
         if let Some(id) = id {
-            response.headers_mut().insert("wg-request", id);
+            headers.insert("wg-request", id);
+        }
+        let behaviour = *self.behaviour.borrow();
+        if let Some(limit) = behaviour.limit {
+            headers.insert("wg-limit", HeaderValue::from_static(limit));
+        }
+        if behaviour.leaving {
+            headers.insert("wg-leaving", HeaderValue::from_static("1"));
         }
         response
     }
