Keep to the limits of targets in the daemon, and drain those that leave

The daemon ignored what its targets say in their responses: a target got every request that its concurrency limit admits, and one that left got requests until it said so on the admin listener.

A target now names wg-limit, in requests per second from all nodes together, and wg-leaving: 1. The owner's node, the only way to the target, starts requests at that rate; a request that would wait past its deadline is refused as not-run, with a Retry-After of its own. A second copy of a request on a silent connection counts, too. wg-leaving starts the drain. Nodes that pass responses on remember the limits for 15 s and send them along with forwarded requests, so that a replaced process keeps to them. The token bucket is that of the fleet and moves to wisteriaglade-router.

--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -365,7 +365,7 @@
     pub(super) fn tick_admission<D: Dialect>(self: &Arc<Self>) {
         let now = self.clock.now();
         self.admission.target.close_stale();
-        let mut inner = lock(&self.admission.inner);
+        let inner = lock(&self.admission.inner);
         let load = inner.queue.load(now);
         self.metrics.running.set(load.running.into());
         self.metrics.waiting.set(load.waiting.into());
--- a/wisteriaglade-mesh/src/lib.rs
+++ b/wisteriaglade-mesh/src/lib.rs
@@ -88,7 +88,6 @@
 mod state;
 mod table;
 mod targets;
-mod throttle;
 
 pub use crate::{
     allotment::Allotment,
--- a/wisteriaglade-mesh/src/planner.rs
+++ b/wisteriaglade-mesh/src/planner.rs
@@ -9,12 +9,10 @@
     time::Duration,
 };
 
+use wisteriaglade_router::throttle::MIN_RATE;
 use wisteriaglade_types::Name;
 
-use crate::{
-    Command, Condition, Keyspace, Owner, Pool, Roster, Span, State, TargetReport,
-    throttle::MIN_RATE,
-};
+use crate::{Command, Condition, Keyspace, Owner, Pool, Roster, Span, State, TargetReport};
 
 /// The number of ranges that each target of a new pool gets. Busy keys lie close
 /// together, so neighbouring ranges go to different targets. The answer to a
--- a/wisteriaglade-mesh/src/queue.rs
+++ b/wisteriaglade-mesh/src/queue.rs
@@ -9,9 +9,10 @@
 };
 
 use serde::{Deserialize, Serialize};
+use wisteriaglade_router::throttle::Throttle;
 use wisteriaglade_types::Name;
 
-use crate::{Notice, nesting::Nesting, throttle::Throttle};
+use crate::{Notice, nesting::Nesting};
 
 /// The weight of a new sample in an exponential moving average.
 const MEAN_GAIN: f64 = 0.1;
--- a/wisteriaglade-node/src/admin/targets.rs
+++ b/wisteriaglade-node/src/admin/targets.rs
@@ -64,6 +64,8 @@
             // Ends the drain of an earlier target.
             context.admission.set_capacity(None);
         }
+        context.notices.forget_own();
+        context.admission.event(Event::RateLimit(None));
         context.admission.set_capacity(Some(announced.capacity()));
         context.announced.send_replace(Some(announced));
     }
--- a/wisteriaglade-node/src/admission.rs
+++ b/wisteriaglade-node/src/admission.rs
@@ -150,6 +150,12 @@
         self.step(Event::Target(capacity));
     }
 
+    /// Returns whether a running request may be sent to the target once more now.
+    pub(crate) fn start_copy(&self) -> bool {
+        let now = self.clock.now();
+        lock(&self.inner).router.start_copy(now)
+    }
+
     /// Returns whether the target has stopped responding.
     pub(crate) fn suspect(&self) -> bool {
         lock(&self.inner).suspect
--- a/wisteriaglade-node/src/context.rs
+++ b/wisteriaglade-node/src/context.rs
@@ -20,6 +20,7 @@
     lock,
     message::{Message, Proposed},
     metrics::Metrics,
+    notice::Notices,
     pool::Pool,
     read,
     records::Records,
@@ -54,6 +55,8 @@
     pub(crate) retry_budget: Mutex<Budget>,
     /// The health of other nodes, as seen by forwarded requests.
     pub(crate) peer_health: Mutex<Health>,
+    /// What targets have said of themselves.
+    pub(crate) notices: Notices,
     pub(crate) records: Records,
     pub(crate) pool: Pool,
     pub(crate) client: target::Client,
@@ -133,6 +136,12 @@
         *lock(&self.leader)
     }
 
+    /// Whether this node's target is draining, or there is none.
+    pub(crate) fn is_target_draining(&self) -> bool {
+        let announced = self.announced.borrow();
+        announced.as_ref().is_none_or(|known| known.draining)
+    }
+
     /// Starts the drain of this node's target.
     pub(crate) fn drain_target(&self) {
         self.announced
@@ -171,6 +180,9 @@
         });
         metrics.shards.set(i64::from(held));
         metrics.lease.set(i64::from(self.holds_lease()));
+        metrics
+            .target_leaving
+            .set(i64::from(self.is_target_draining()));
         self.admission.inspect(|router| {
             metrics.update_queue(&router.summary());
             metrics.members.update(router.members());
--- a/wisteriaglade-node/src/header.rs
+++ b/wisteriaglade-node/src/header.rs
@@ -26,6 +26,11 @@
 /// The name of the caller, by which the callers of a member are scheduled
 /// fairly.
 pub(crate) const CALLER: HeaderName = HeaderName::from_static("wg-caller");
+/// The requests per second that a target takes from all nodes together. Set on its
+/// responses by the target, and on forwarded requests by the ingress node.
+pub(crate) const LIMIT: HeaderName = HeaderName::from_static("wg-limit");
+/// Has the value 1 on the responses of a target that is leaving.
+pub(crate) const LEAVING: HeaderName = HeaderName::from_static("wg-leaving");
 /// The idempotency key of a request of an at-most-once rule.
 pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
@@ -44,7 +49,7 @@
 
 /// Headers that targets trust. They are removed from callers' requests, since
 /// only the router may set them.
-const INTERNAL: [HeaderName; 6] = [EPOCH, REQUEST, SHARD, POOL, MEMBER, OUTCOME];
+const INTERNAL: [HeaderName; 7] = [EPOCH, REQUEST, SHARD, POOL, MEMBER, OUTCOME, LIMIT];
 
 /// Removes the hop-by-hop headers, and those that the `connection` header names.
 pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
--- a/wisteriaglade-node/src/ingress.rs
+++ b/wisteriaglade-node/src/ingress.rs
@@ -284,13 +284,30 @@
         caller: ingress.caller.clone(),
         cancel: ingress.cancel.clone(),
     };
+    if let Some(target) = owner.target {
+        context.add_limit(target, &mut job.headers);
+    }
+    let response = send(context, owner, job).await?;
+    if let Some(target) = owner.target {
+        context.record_limit(target, response.headers());
+    }
+    Ok(response)
+}
+
+/// Serves a request on this node if it is the owner, or forwards it to the owner's
+/// node.
+async fn send(
+    context: &Arc<Context>,
+    owner: &Owner,
+    mut job: Job,
+) -> Result<Response<Body>, Refusal> {
     if context.node() == Some(owner.node) {
         return work::serve(context, job).await;
     }
+    let deadline = context.clock.instant(job.deadline);
     let span = info_span!("forward", request = %job.request, node = owner.node.get());
     trace::inject(&span, &mut job.headers);
     let forward = forward::forward(context, owner.peer, owner.node, job).instrument(span);
-    let deadline = context.clock.instant(ingress.deadline);
     tokio::time::timeout_at(deadline, forward)
         .await
         .unwrap_or_else(|_| {
@@ -353,6 +370,8 @@
 struct Owner {
     node: Node,
     peer: SocketAddr,
+    /// The address of its target, if it is announced.
+    target: Option<SocketAddr>,
     epoch: Epoch,
 }
 
@@ -392,6 +411,7 @@
     (!process.is_fenced()).then(|| Owner {
         node: process.node(),
         peer: process.peer(),
+        target: process.target().map(|target| target.address),
         epoch: grant.epoch,
     })
 }
--- a/wisteriaglade-node/src/lib.rs
+++ b/wisteriaglade-node/src/lib.rs
@@ -64,6 +64,7 @@
 mod membership;
 mod message;
 mod metrics;
+mod notice;
 mod payload;
 mod peer;
 mod pool;
--- a/wisteriaglade-node/src/metrics.rs
+++ b/wisteriaglade-node/src/metrics.rs
@@ -2,7 +2,10 @@
 
 mod members;
 
-use std::{sync::Mutex, time::Duration};
+use std::{
+    sync::{Mutex, atomic::AtomicU64},
+    time::Duration,
+};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -46,6 +49,11 @@
     pub(crate) pending: Gauge,
     /// The current concurrency limit of the target.
     pub(crate) limit: Gauge,
+    /// The rate limit that the target names; -1 if it names none.
+    rate_limit: Gauge<f64, AtomicU64>,
+    /// Whether the target is draining, or there is none.
+    pub(crate) target_leaving: Gauge,
+    pub(crate) malformed_limits: Counter,
     /// Shards that this node owns.
     pub(crate) shards: Gauge,
     /// 1 while this node holds its lease, else 0.
@@ -100,6 +108,9 @@
             control_bytes: Counter::default(),
             pending: Gauge::default(),
             limit: Gauge::default(),
+            rate_limit: Gauge::default(),
+            target_leaving: Gauge::default(),
+            malformed_limits: Counter::default(),
             shards: Gauge::default(),
             lease: Gauge::default(),
             applied: Gauge::default(),
@@ -182,6 +193,11 @@
                 "Requests that may run at the target at once",
                 &self.limit,
             ),
+            (
+                "target_leaving",
+                "Whether the target is leaving, or there is none",
+                &self.target_leaving,
+            ),
             ("shards", "Shards that this node owns", &self.shards),
             ("lease", "Whether this node holds its lease", &self.lease),
             (
@@ -202,6 +218,16 @@
         ] {
             registry.register(name, help, gauge.clone());
         }
+        registry.register(
+            "rate_limit",
+            "Requests per second that the target takes; -1 if it names no limit",
+            self.rate_limit.clone(),
+        );
+        registry.register(
+            "malformed_limits",
+            "Responses of the target with a limit that cannot be decoded",
+            self.malformed_limits.clone(),
+        );
     }
 
     /// Counts a response to a caller, and records the time from the arrival of the
@@ -234,6 +260,7 @@
     /// Updates the gauges of the admission queue.
     pub(crate) fn update_queue(&self, summary: &Summary) {
         self.limit.set(i64::from(summary.limit));
+        self.rate_limit.set(summary.rate_limit.unwrap_or(-1.0));
         let set = |family: &Family<ClassLabels, Gauge>, class, number: i64| {
             family.get_or_create(&ClassLabels { class }).set(number);
         };
--- a/wisteriaglade-node/src/work.rs
+++ b/wisteriaglade-node/src/work.rs
@@ -51,7 +51,8 @@
 }
 
 /// Serves a request, or refuses it if this node doesn't own its key.
-pub(crate) async fn serve(context: &Arc<Context>, job: Job) -> Result<Response<Body>, Refusal> {
+pub(crate) async fn serve(context: &Arc<Context>, mut job: Job) -> Result<Response<Body>, Refusal> {
+    context.learn_limit(&mut job.headers);
     let grant = resolve_grant(context, &job)?;
     let mut guard = context.admission.enter(job.request, grant.shard);
     // The shard is marked busy now, so it cannot be released after this check.
@@ -87,7 +88,9 @@
         "target",
         request = %job.request,
         shard = grant.shard.get(),
-        epoch = grant.epoch.get()
+        epoch = grant.epoch.get(),
+        limit = context.admission.inspect(|router| router.summary().rate_limit),
+        leaving = context.is_target_draining()
     );
     trace::inject(&span, &mut job.headers);
     dispatch::dispatch(context, job, grant, guard, class)
@@ -201,6 +204,10 @@
         Admission::Deadline | Admission::Expired => {
             Refusal::not_run(Reason::Deadline, "the deadline cannot be met")
         }
+        Admission::Limited => {
+            let detail = "the target takes fewer requests at the moment";
+            Refusal::not_run(Reason::Overloaded, detail)
+        }
         Admission::Departed => Refusal::not_run(Reason::Deadline, "the caller disconnected"),
         Admission::Draining => Refusal::not_run(Reason::Moved, "the target is leaving"),
         Admission::Absent | Admission::Unresponsive => {
--- a/wisteriaglade-node/src/work/dispatch.rs
+++ b/wisteriaglade-node/src/work/dispatch.rs
@@ -75,6 +75,7 @@
             }
         }
     })?;
+    context.hear_target(response.headers());
     if let Some(refusal) = shed_refusal(response.headers()) {
         guard.finish(Finish::Shed {
             retry_after: refusal.retry_after,
@@ -142,6 +143,10 @@
         }
         () = sleep(silence_timeout(context, deadline)), if repeat => {}
     }
+    // The copy counts towards the rate limit of the target.
+    if !context.admission.start_copy() {
+        return first.await;
+    }
     let second = attempt(context, Connection::Unpooled, grant.target, second_request);
     tokio::pin!(second);
     let (outcome, other) = tokio::select! {
--- a/wisteriaglade-router/src/event.rs
+++ b/wisteriaglade-router/src/event.rs
@@ -32,6 +32,9 @@
     /// refused; the driver ends the running ones and reports each with
     /// [`Event::Finish`].
     Target(Option<Capacity>),
+    /// The target named this limit in a response, in requests per second from all
+    /// nodes together, or with `None`, no limit.
+    RateLimit(Option<f64>),
     /// The target drains. Requests are still dispatched during a grace period
     /// ([`Config::drain_grace`](crate::Config::drain_grace)). Afterwards they
     /// are refused until the target has left and is announced again.
--- a/wisteriaglade-router/src/lib.rs
+++ b/wisteriaglade-router/src/lib.rs
@@ -35,6 +35,11 @@
 //! - *Connections.* [`Effect::Prewarm`] sets the number of open connections
 //!   from the recent peak of concurrency.
 //!
+//! - *Rate limit.* A target may name the requests per second that it takes
+//!   ([`Event::RateLimit`]). Requests then start at that rate; those that would
+//!   wait past their deadline are refused with a retry-after time of their own,
+//!   at the rate of the limit.
+//!
 //! [`retry::Budget`] and [`peer::Health`] are independent of [`Router`]: an
 //! ingress node uses them for the requests that it forwards to other nodes.
 //!
@@ -162,6 +167,7 @@
 mod statistics;
 mod summary;
 mod target;
+pub mod throttle;
 mod usage;
 mod waiting;
 mod window;
--- a/wisteriaglade-router/src/reason.rs
+++ b/wisteriaglade-router/src/reason.rs
@@ -24,12 +24,14 @@
     Absent,
     /// The target does not respond.
     Unresponsive,
+    /// The target would get more requests than the rate limit that it names.
+    Limited,
 }
 
 impl Reason {
     /// All reasons, in the order of the counts in
     /// [`Usage::refused`](crate::Usage::refused).
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Full,
         Self::Deadline,
         Self::Expired,
@@ -38,6 +40,7 @@
         Self::Draining,
         Self::Absent,
         Self::Unresponsive,
+        Self::Limited,
     ];
 
     /// Returns the name of the reason, as it appears in metrics and response
@@ -53,6 +56,7 @@
             Self::Draining => "draining",
             Self::Absent => "absent",
             Self::Unresponsive => "unresponsive",
+            Self::Limited => "limited",
         }
     }
 
--- a/wisteriaglade-router/src/router.rs
+++ b/wisteriaglade-router/src/router.rs
@@ -13,7 +13,7 @@
 use crate::{
     Capacity, Class, Config, Effect, Event, Finish, Policy, Reason, Report, Summary, Usage,
     congestion::Congestion, estimator::Estimator, job::Job, queue::Queue, running::Running,
-    statistics::Statistics, target::Target, waiting::Waiting,
+    statistics::Statistics, target::Target, throttle::Throttle, waiting::Waiting,
 };
 
 /// The retry-after time of refusals whose cause is short, such as a move of the
@@ -49,6 +49,8 @@
     last_short_wait: Option<Duration>,
     /// When the target started to drain.
     draining: Option<Duration>,
+    /// The rate limit that the target names.
+    throttle: Throttle,
 }
 
 impl Router {
@@ -67,6 +69,7 @@
             congestion: Congestion::default(),
             last_short_wait: None,
             draining: None,
+            throttle: Throttle::default(),
             config,
         }
     }
@@ -86,6 +89,7 @@
             Event::Report(report) => self.report(now, report),
             Event::Tick => {}
             Event::Target(capacity) => self.announce(now, capacity, effects),
+            Event::RateLimit(rate) => self.throttle.set_rate(now, rate),
             Event::Drain => self.draining = self.draining.or(Some(now)),
         }
         self.expire(now, effects);
@@ -101,6 +105,12 @@
         self.prewarm(now, effects);
     }
 
+    /// Returns whether the rate limit of the target allows a running request to be sent
+    /// to it once more at `now`, and counts the copy if so.
+    pub fn start_copy(&mut self, now: Duration) -> bool {
+        self.throttle.try_take(now)
+    }
+
     /// Returns when the driver must pass the next [`Event::Tick`], unless
     /// another event comes first. `None` means that no tick is needed.
     #[must_use]
@@ -115,6 +125,10 @@
                 .filter(|_| queued)
                 .map(|at| at + self.config.drain_grace),
             target.and_then(|t| t.next_change(self.now, &self.running, &self.estimator, queued)),
+            (queued && self.running.total() < self.limit(self.now))
+                .then(|| self.throttle.wait(self.now, 0))
+                .filter(|wait| !wait.is_zero())
+                .map(|wait| self.now.saturating_add(wait)),
             self.reserved_until()
                 .filter(|at| *at > self.now && self.queue.waiting(Class::Long) > 0),
         ];
@@ -134,6 +148,7 @@
             service_time: self.estimator.short_service_time(),
             standing_queue: self.congestion.has_standing_queue(self.now),
             suspect: self.target.as_ref().is_some_and(Target::suspect),
+            rate_limit: self.throttle.rate(),
         }
     }
 
@@ -206,6 +221,7 @@
         let Some(capacity) = capacity else {
             self.draining = None;
             self.target = None;
+            self.throttle.set_rate(now, None);
             return self.refuse_all(Reason::Absent, Some(SHORT_RETRY_AFTER), effects);
         };
         if let Some(target) = &self.target {
@@ -271,7 +287,7 @@
 
     fn dispatch(&mut self, now: Duration, effects: &mut Vec<Effect>) {
         let cost = [Class::Short, Class::Long].map(|class| self.estimator.service_time(class));
-        while self.running.total() < self.limit(now) {
+        while self.running.total() < self.limit(now) && self.throttle.wait(now, 0).is_zero() {
             let allowed = [true, self.long_allowed(now)];
             let newest_first = self.newest_first(now);
             let Some(waiting) = self.queue.pop(allowed, cost, newest_first) else {
@@ -308,6 +324,8 @@
             cancelled: false,
             waiting,
         });
+        // The caller has checked that the limit allows it.
+        let _ = self.throttle.try_take(now);
         let running = self.running.total();
         if let Some(target) = &mut self.target {
             target.dispatched(now, running);
--- a/wisteriaglade-router/src/router/admission.rs
+++ b/wisteriaglade-router/src/router/admission.rs
@@ -82,7 +82,9 @@
         waiting: &Waiting,
         effects: &mut Vec<Effect>,
     ) -> bool {
-        let wait = self.expected_wait(now, waiting);
+        let slot_wait = self.expected_wait(now, waiting);
+        let limit_wait = self.throttle.wait(now, self.queue.len());
+        let wait = slot_wait.max(limit_wait);
         let time_left = waiting.latest_start().saturating_sub(now);
         let newest_first = self.newest_first(now);
         let max_wait = if newest_first {
@@ -98,6 +100,11 @@
         if wait <= max_wait && !time_left.is_zero() {
             return true;
         }
+        if limit_wait > slot_wait {
+            let after = self.throttle.plan_return(now, limit_wait);
+            self.refuse(waiting, Reason::Limited, Some(after), effects);
+            return false;
+        }
         let retry_after = Some(
             wait.saturating_sub(max_wait)
                 .clamp(RETRY_AFTER[0], RETRY_AFTER[1]),
--- a/wisteriaglade-router/src/summary.rs
+++ b/wisteriaglade-router/src/summary.rs
@@ -4,7 +4,7 @@
 
 /// A summary of the state of a [`Router`](crate::Router), for metrics and load
 /// reports.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Summary {
     /// The number of short requests that wait.
     pub queued_short: usize,
@@ -25,4 +25,7 @@
     pub standing_queue: bool,
     /// Whether the target is suspect, that is, does not respond.
     pub suspect: bool,
+    /// The rate limit that is applied, in requests per second; `None` if the target
+    /// names none.
+    pub rate_limit: Option<f64>,
 }
--- a/wisteriaglade-mesh/src/throttle.rs
+++ b/wisteriaglade-router/src/throttle.rs
@@ -1,11 +1,14 @@
 //! The rate limit of a target.
+//!
+//! [`Throttle`] is independent of [`Router`](crate::Router), which has one for the
+//! target of its node.
 
 use std::time::Duration;
 
 /// The lowest rate that is applied, in requests per second. A target with a lower
 /// limit, or one of 0, gets a request in four seconds, as only an answer tells that
 /// the limit has ended.
-pub(crate) const MIN_RATE: f64 = 0.25;
+pub const MIN_RATE: f64 = 0.25;
 
 /// The most requests that may start at once, as a part of those that the limit
 /// allows in a second, but at least 1.
@@ -18,9 +21,27 @@
 /// Limits the rate at which requests start at a target that names a limit.
 ///
 /// A token bucket: each start takes a token, and tokens come back at the rate of the
-/// limit.
+/// limit. It reads no clock: times are those that the caller passes, which must not
+/// decrease.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use wisteriaglade_router::throttle::Throttle;
+///
+/// let mut throttle = Throttle::default();
+/// assert!(throttle.try_take(Duration::ZERO), "no limit");
+///
+/// throttle.set_rate(Duration::ZERO, Some(2.0));
+/// assert!(throttle.try_take(Duration::ZERO));
+/// assert!(!throttle.try_take(Duration::ZERO));
+/// assert_eq!(throttle.wait(Duration::ZERO, 0), Duration::from_millis(500));
+/// assert!(throttle.try_take(Duration::from_millis(500)));
+/// ```
 #[derive(Debug, Default)]
-pub(crate) struct Throttle {
+pub struct Throttle {
     /// The limit in requests per second; `None` if the target names none.
     rate: Option<f64>,
     tokens: f64,
@@ -31,8 +52,9 @@
 }
 
 impl Throttle {
-    /// Sets the limit. Under a new limit one request may start at once.
-    pub(crate) fn set_rate(&mut self, now: Duration, rate: Option<f64>) {
+    /// Sets the limit in requests per second, or ends it. Under a new limit one request
+    /// may start at once. A negative rate or one that is no number counts as 0.
+    pub fn set_rate(&mut self, now: Duration, rate: Option<f64>) {
         self.refill(now);
         let rate = rate.map(|rate| rate.max(MIN_RATE));
         if self.rate.is_none() {
@@ -42,8 +64,15 @@
         self.tokens = self.tokens.min(self.burst());
     }
 
+    /// Returns the limit that is applied, in requests per second.
+    #[must_use]
+    pub fn rate(&self) -> Option<f64> {
+        self.rate
+    }
+
     /// Takes the start of a request. Returns `false` if the limit allows none now.
-    pub(crate) fn try_take(&mut self, now: Duration) -> bool {
+    #[must_use]
+    pub fn try_take(&mut self, now: Duration) -> bool {
         if self.rate.is_none() {
             return true;
         }
@@ -56,7 +85,8 @@
     }
 
     /// Returns how long a request waits that starts after `ahead` others.
-    pub(crate) fn wait(&self, now: Duration, ahead: usize) -> Duration {
+    #[must_use]
+    pub fn wait(&self, now: Duration, ahead: usize) -> Duration {
         let Some(rate) = self.rate else {
             return Duration::ZERO;
         };
@@ -70,7 +100,7 @@
 
     /// Returns after what time a refused caller should come back: not before `wait`
     /// is over, and each caller later than the one before, at the rate of the limit.
-    pub(crate) fn plan_return(&mut self, now: Duration, wait: Duration) -> Duration {
+    pub fn plan_return(&mut self, now: Duration, wait: Duration) -> Duration {
         let Some(rate) = self.rate else {
             return wait;
         };
--- a/wisteriaglade-router/tests/admission.rs
+++ b/wisteriaglade-router/tests/admission.rs
@@ -386,3 +386,75 @@
 
     assert!(dispatched(&later, 2).is_some(), "{:?}", router.summary());
 }
+
+/// Returns a router whose target has six slots and names a limit.
+fn limited_router(rate: f64) -> Router {
+    let mut router = router(6, Config::default());
+    step(&mut router, Duration::ZERO, Event::RateLimit(Some(rate)));
+    router
+}
+
+/// Guards against more dispatches than the limit that the target names, and against
+/// requests that stay in the queue when it has room for them.
+#[test]
+fn dispatches_keep_to_the_rate_limit() {
+    let mut router = limited_router(4.0);
+
+    let first = step(&mut router, Duration::ZERO, short(1));
+    let second = step(&mut router, MS, short(2));
+    let wake = router.wake();
+    let third = step(&mut router, 251 * MS, Event::Tick);
+
+    assert_eq!(dispatched(&first, 1), Some(Class::Short));
+    assert_eq!(dispatched(&second, 2), None);
+    assert!(wake <= Some(250 * MS), "{wake:?}");
+    assert_eq!(dispatched(&third, 2), Some(Class::Short));
+}
+
+/// Guards against a limit that goes on after the target has ceased to name it.
+#[test]
+fn a_rate_limit_ends_when_the_target_names_none() {
+    let mut router = limited_router(1.0);
+    step(&mut router, Duration::ZERO, short(1));
+    step(&mut router, MS, short(2));
+
+    let effects = step(&mut router, 2 * MS, Event::RateLimit(None));
+
+    assert_eq!(dispatched(&effects, 2), Some(Class::Short));
+}
+
+/// Guards against requests that wait for a limit which cannot let them start before
+/// their deadline, and against callers that are all sent back at the same moment.
+#[test]
+fn requests_over_the_rate_limit_are_refused_with_a_time_of_their_own() {
+    let mut router = limited_router(0.5);
+    let mut retries = Vec::new();
+
+    for id in 0..8 {
+        for effect in step(&mut router, MS, short(id)) {
+            if let Effect::Refuse {
+                reason,
+                retry_after,
+                ..
+            } = effect
+            {
+                assert_eq!(reason, Reason::Limited);
+                retries.extend(retry_after);
+            }
+        }
+    }
+
+    assert!(retries.len() >= 3, "{retries:?}");
+    assert!(retries[0] < retries[1], "{retries:?}");
+}
+
+/// Guards against a second copy of a request that the limit does not count.
+#[test]
+fn a_copy_of_a_request_counts_towards_the_rate_limit() {
+    let mut router = limited_router(4.0);
+    step(&mut router, Duration::ZERO, short(1));
+
+    assert!(!router.start_copy(MS));
+    assert!(router.start_copy(260 * MS));
+    assert_eq!(dispatched(&step(&mut router, 261 * MS, short(2)), 2), None);
+}
