Look for leaving targets once per request

Each choice of a target locked and searched the notices twice for every target of the pool, 149 of them on the largest site. The notices are locked once now, and searched only if a target is known to be leaving. The 12 cases of tests/notices.rs pass.

--- a/wisteriaglade-fleet/src/host/exchange.rs
+++ b/wisteriaglade-fleet/src/host/exchange.rs
@@ -312,12 +312,8 @@
             .targets(pool)
             .iter()
             .filter(|entry| entry.ready && !attempts.excluded.contains(&entry.owner.target))
-            .filter(|entry| self.may_offer(now, entry))
             .collect();
-        let stays = |entry: &&Entry| !lock(&self.notices).of(&entry.owner).leaving;
-        if entries.iter().any(stays) {
-            entries.retain(stays);
-        }
+        self.remove_leaving(now, &mut entries);
         let own_data_centre = &self.settings.data_centre;
         let candidates: Vec<Candidate> = entries
             .iter()
--- a/wisteriaglade-fleet/src/host/notice.rs
+++ b/wisteriaglade-fleet/src/host/notice.rs
@@ -68,9 +68,29 @@
     /// Whether a target may be sent requests: it has not said that it is leaving, or
     /// only a moment ago, which leaves time for its keys to move.
     pub(super) fn may_offer(&self, now: Duration, entry: &Entry) -> bool {
-        let limit = self.settings.drain.mul_f64(DRAIN_ACCEPT_RATIO);
         let leaving_for = lock(&self.notices).leaving_for(now, &entry.owner);
-        leaving_for.is_none_or(|time| time <= limit)
+        leaving_for.is_none_or(|time| time <= self.leaving_limit())
+    }
+
+    /// Removes targets that are leaving, apart from those that said so only a moment
+    /// ago if no other one is left.
+    pub(super) fn remove_leaving(&self, now: Duration, entries: &mut Vec<&Entry>) {
+        let notices = lock(&self.notices);
+        if !notices.any_leaving() {
+            return;
+        }
+        let leaving_for = |entry: &&Entry| notices.leaving_for(now, &entry.owner);
+        if entries.iter().any(|entry| leaving_for(entry).is_none()) {
+            entries.retain(|entry| leaving_for(entry).is_none());
+            return;
+        }
+        let limit = self.leaving_limit();
+        entries.retain(|entry| leaving_for(entry).is_none_or(|time| time <= limit));
+    }
+
+    /// How long a target may be sent requests after it has said that it is leaving.
+    fn leaving_limit(&self) -> Duration {
+        self.settings.drain.mul_f64(DRAIN_ACCEPT_RATIO)
     }
 
     /// Whether the keys of a target that is leaving can get another holder soon: a
--- a/wisteriaglade-mesh/src/notices.rs
+++ b/wisteriaglade-mesh/src/notices.rs
@@ -51,6 +51,13 @@
             .map_or_else(Notice::default, |heard| heard.notice)
     }
 
+    /// Whether any target is known to be leaving.
+    #[must_use]
+    pub fn any_leaving(&self) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|heard| heard.leaving_since.is_some())
+    }
+
     /// Returns how long a target has been known to be leaving; `None` if it has not
     /// said so.
     #[must_use]
--- a/wisteriaglade-mesh/src/queue.rs
+++ b/wisteriaglade-mesh/src/queue.rs
@@ -457,7 +457,7 @@
         let mut ahead = 0;
         for (position, waiting) in &self.waiting {
             let work = self.mean_of(waiting.arrival.kind).mul_f64(0.5);
-            let start = now + self.throttle.wait(now, ahead);
+            let start = now.saturating_add(self.throttle.wait(now, ahead));
             if start + work > waiting.arrival.deadline {
                 late.push(*position);
             } else {
