Reject waiting requests only if their key has moved away

Waiting requests were rejected whenever the target did not hold their key at that moment. A hold that is renewed late, as happens where ranges are granted by calls under load, lapses for a moment while the range stays assigned to the target, and emptied its queue. They are rejected now only if the key is not assigned to the target either.

The choice whether an offer has an alternative moves into the function that builds it.

--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -379,13 +379,13 @@
         }
     }
 
-    /// Rejects waiting requests whose key the target has ceased to hold.
+    /// Rejects waiting requests whose key has moved away from the target.
     pub(super) fn reject_lost_keys<D: Dialect>(self: &Arc<Self>, now: Duration) {
         let mut inner = lock(&self.admission.inner);
         let tracker = lock(&self.tracker);
         let waiting = inner.jobs.iter().filter(|(_, job)| job.task.is_none());
         let lost: Vec<u64> = waiting
-            .filter(|(_, job)| job.offer.key.is_some_and(|key| !tracker.holds(now, key)))
+            .filter(|(_, job)| job.offer.key.is_some_and(|key| tracker.has_lost(now, key)))
             .map(|(id, _)| *id)
             .collect();
         drop(tracker);
--- a/wisteriaglade-fleet/src/host/exchange.rs
+++ b/wisteriaglade-fleet/src/host/exchange.rs
@@ -233,8 +233,8 @@
                 return attempts.finish(exchange, self.clock.now());
             };
             attempts.offers += 1;
-            let mut offer = self.build_offer(exchange, &entry, key, may_queue);
-            offer.has_alternative = key.is_none() && attempts.limited < MAX_LIMITED;
+            let has_alternative = key.is_none() && attempts.limited < MAX_LIMITED;
+            let offer = self.build_offer(exchange, &entry, key, may_queue, has_alternative);
             let target = entry.owner.target.clone();
             attempts.last_target = Some(target.clone());
             let in_flight = InFlight::new(self, &target);
@@ -254,7 +254,8 @@
     /// the request because the range is moving, waits for at most
     /// [`HOLDER_WAIT_RATIO`] of the objective. Returns its entry and whether the
     /// request may queue there, which is always true. Returns `None` if the wait
-    /// ends without a holder or the holder refused for another reason.
+    /// ends without a holder, the holder refused for another reason, or it is leaving
+    /// and its keys can get no other one soon.
     async fn find_holder(
         &self,
         exchange: &Exchange,
@@ -266,11 +267,9 @@
         let end = (exchange.received + wait).min(exchange.deadline);
         loop {
             let holder = read(&self.view).holder(pool, key).cloned();
-            let (holder, leaving) = match holder {
-                Some(entry) if !self.may_offer(self.clock.now(), &entry) => (None, true),
-                holder => (holder, false),
-            };
-            if let Some(entry) = holder {
+            let may_offer = |entry: &Entry| self.may_offer(self.clock.now(), entry);
+            let is_leaving = holder.as_ref().is_some_and(|entry| !may_offer(entry));
+            if let Some(entry) = holder.filter(|_| !is_leaving) {
                 let refused = attempts.excluded.last() == Some(&entry.owner.target);
                 let is_moving =
                     matches!(attempts.reason, Some(Reason::NotHolder | Reason::NotTarget));
@@ -283,13 +282,13 @@
                 // The range is moving; the target may hold it by now.
                 attempts.excluded.clear();
             }
-            attempts.reason.get_or_insert(if leaving {
+            attempts.reason.get_or_insert(if is_leaving {
                 Reason::Draining
             } else {
                 Reason::NoTarget
             });
             attempts.retry_after = Some(HOLDER_RETRY_AFTER);
-            if self.clock.now() >= end || (leaving && !self.has_successor(pool)) {
+            if self.clock.now() >= end || (is_leaving && !self.has_successor(pool)) {
                 return None;
             }
             let changed = self.view_changed.notified();
@@ -340,6 +339,7 @@
         entry: &Entry,
         key: Option<u16>,
         may_queue: bool,
+        has_alternative: bool,
     ) -> Offer {
         let now = self.clock.now();
         let left = |at: Duration| millis(at.saturating_sub(now));
@@ -354,7 +354,7 @@
             caller: self.sidecar.pool.clone(),
             repeatable: rule.idempotent,
             may_queue,
-            has_alternative: false,
+            has_alternative,
             notice: lock(&self.notices).of(&entry.owner),
             objective: left(exchange.received + rule.objective),
             deadline: left(exchange.deadline),
--- a/wisteriaglade-fleet/src/host/tracker.rs
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -218,6 +218,12 @@
         }
     }
 
+    /// Whether a key has moved away: the target does not hold it, and it is not assigned
+    /// to the target either. A hold that is only renewed late does not count.
+    pub(super) fn has_lost(&self, now: Duration, key: u16) -> bool {
+        !self.holds(now, key) && !self.grants.allotment().is_assigned(key)
+    }
+
     /// Returns the number of assigned ranges that the target holds and of those
     /// that it does not hold, if ranges are granted by calls; else zeros.
     pub(super) fn held_ranges(&self, now: Duration) -> (usize, usize) {
--- a/wisteriaglade-mesh/src/allotment.rs
+++ b/wisteriaglade-mesh/src/allotment.rs
@@ -45,6 +45,12 @@
         self.owner.as_ref()
     }
 
+    /// Returns whether a key is assigned to the target and does not have to move.
+    #[must_use]
+    pub fn is_assigned(&self, key: u16) -> bool {
+        self.grantable().iter().any(|(span, ..)| span.contains(key))
+    }
+
     /// Returns the ranges that the target may hold: keys, fencing token, and the
     /// handover text of the previous holder.
     pub(crate) fn grantable(&self) -> &[(Span, u64, Name)] {
