Read the rate limit alone for the trace, and replace processes in one function

The span of each request in the daemon computed the whole summary of the reducer, under its lock, for one field of it. The limit has a function of its own now. Two tests replaced a process by the same four lines.

--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -35,6 +35,9 @@
 /// The bound for a request that cannot be served to be refused.
 const REFUSAL_BOUND: Duration = Duration::from_millis(100);
 
+/// The bound for a process that was asked to stop: the grace period of the fleet.
+const STOP_BOUND: Duration = Duration::from_secs(6);
+
 /// The numbers of the two hosts with a target; host 0 is the control replica.
 const HOSTS: [usize; 2] = [1, 2];
 
@@ -76,6 +79,14 @@
     .await;
 }
 
+/// Stops the process of a host gracefully and starts another one in its place.
+async fn replace_process(fleet: &mut Fleet, host: usize) {
+    let mut process = fleet.hosts[host].process.take().unwrap();
+    process.terminate();
+    process.wait(STOP_BOUND).await;
+    fleet.hosts[host].start();
+}
+
 /// Returns the times at which requests of these calls that were sent within a span
 /// reached a target.
 fn arrivals_of(fleet: &Fleet, host: usize, calls: &[Call], from: Instant) -> Vec<Instant> {
@@ -149,10 +160,7 @@
     let load = Load::start(&fleet, &[2], "book", "limit", 40);
     let from = Instant::now() + Duration::from_secs(1);
     sleep(Duration::from_secs(3)).await;
-    let mut process = fleet.hosts[1].process.take().unwrap();
-    process.terminate();
-    process.wait(Duration::from_secs(6)).await;
-    fleet.hosts[1].start();
+    replace_process(&mut fleet, 1).await;
     sleep(Duration::from_secs(4)).await;
     let calls = load.stop().await;
 
@@ -265,10 +273,7 @@
     sleep(Duration::from_millis(500)).await;
     assert!(!fleet.arrivals(1).is_empty());
     let from = Instant::now() + DRAIN;
-    let mut process = fleet.hosts[1].process.take().unwrap();
-    process.terminate();
-    process.wait(Duration::from_secs(6)).await;
-    fleet.hosts[1].start();
+    replace_process(&mut fleet, 1).await;
     sleep(Duration::from_secs(3)).await;
     let calls = load.stop().await;
 
--- a/wisteriaglade-node/src/work.rs
+++ b/wisteriaglade-node/src/work.rs
@@ -15,7 +15,7 @@
 use hyper::body::{Body as _, Incoming};
 use tokio::sync::mpsc;
 use tracing::{Instrument, info_span};
-use wisteriaglade_router::{Arrival, Class, Finish, Length};
+use wisteriaglade_router::{Arrival, Class, Finish, Length, Router};
 use wisteriaglade_rules::{Execution, Length as RuleLength, Rule};
 use wisteriaglade_types::{Epoch, Hash, Node, Outcome, Shard};
 
@@ -89,7 +89,7 @@
         request = %job.request,
         shard = grant.shard.get(),
         epoch = grant.epoch.get(),
-        limit = context.admission.inspect(|router| router.summary().rate_limit),
+        limit = context.admission.inspect(Router::rate_limit),
         leaving = context.is_target_draining()
     );
     trace::inject(&span, &mut job.headers);
--- a/wisteriaglade-router/src/router.rs
+++ b/wisteriaglade-router/src/router.rs
@@ -148,10 +148,17 @@
             service_time: self.estimator.short_service_time(),
             standing_queue: self.congestion.has_standing_queue(self.now),
             suspect: self.target.as_ref().is_some_and(Target::suspect),
-            rate_limit: self.throttle.rate(),
+            rate_limit: self.rate_limit(),
         }
     }
 
+    /// Returns the rate limit that is applied, in requests per second; `None` if the
+    /// target names none.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.throttle.rate()
+    }
+
     /// Returns the statistics of each member, keyed by its name. At most
     /// [`Config::max_members`] members have an entry of their own; the requests
     /// of all others are counted under `other`.
