Show that requests that wait for a leaving server reach it too late

Cause: requests that wait for a slot stay in the queue of a target that drains and start whenever a slot is free.

--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -31,16 +31,19 @@
             record,
             services,
             timeout_s,
+            0.5,
             behaviour,
             Duration::from_millis(20),
         )
     }
 
-    /// As [`start`](Self::start), with the time that servers work on a request.
+    /// As [`start`](Self::start), with the objective of the routes and the time
+    /// that servers work on a request.
     pub fn start_with(
         record: &Record,
         services: &[&str],
         timeout_s: f64,
+        slo_s: f64,
         behaviour: Option<Behaviour>,
         work: Duration,
     ) -> Self {
@@ -68,7 +71,7 @@
             record,
             &fleet.controls(),
             0,
-            &text(1, timeout_s),
+            &text(1, timeout_s, slo_s),
             Duration::from_secs(20),
         );
         if status != 200 {
@@ -102,13 +105,13 @@
 }
 
 /// Writes a configuration with a route to each service.
-pub fn text(version: u64, timeout_s: f64) -> String {
+pub fn text(version: u64, timeout_s: f64, slo_s: f64) -> String {
     let route = |prefix, kind, service| Route {
         prefix,
         kind,
         service,
         timeout_s,
-        slo_s: 0.5,
+        slo_s,
         max_attempts: 2,
     };
     let routes = [
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 
 mod deployment;
 mod disk_full;
+mod drain_queue;
 mod fleet;
 mod foreign_beat;
 mod http;
@@ -12,6 +13,7 @@
 mod operator;
 mod scale_in;
 mod server;
+mod slow_reader;
 mod upload_memory;
 
 use std::{path::PathBuf, process::exit, thread, time::Duration};
@@ -36,6 +38,8 @@
         "upload-memory" => upload_memory::run(&record, trouble),
         "many-changes" => many_changes::run(&record, trouble),
         "scale-in" => scale_in::run(&record, trouble),
+        "drain-queue" => drain_queue::run(&record, trouble),
+        "slow-reader" => slow_reader::run(&record, trouble),
         _ => fleet::fail("no such case"),
     };
     record.note(if broken {
--- a/review/standins/server.rs
+++ b/review/standins/server.rs
@@ -63,6 +63,10 @@
     seq: Mutex<u64>,
     connections: Mutex<Vec<TcpStream>>,
     answer_bytes: Mutex<usize>,
+    /// When the first heartbeat that says `draining` was acknowledged.
+    drain_acknowledged: Mutex<Option<Instant>>,
+    /// The requests that arrived and were not refused with 421, and when.
+    arrivals: Mutex<Vec<(String, Instant)>>,
 }
 
 pub fn unix_ms() -> u64 {
@@ -102,6 +106,8 @@
         seq: Mutex::new(0),
         connections: Mutex::default(),
         answer_bytes: Mutex::new(0),
+        drain_acknowledged: Mutex::new(None),
+        arrivals: Mutex::default(),
     });
     let listener = TcpListener::bind(server.address).expect("the server's address is in use");
     let accepting = Arc::clone(&server);
@@ -187,6 +193,10 @@
             let own = [own[0], ("X-Wisteriaglade-Not-Executed", "1")];
             return encode("HTTP/1.1 421 Misdirected Request", &own, b"");
         }
+        self.arrivals
+            .lock()
+            .unwrap()
+            .push((id.clone(), Instant::now()));
         self.record_run(&id);
         thread::sleep(self.work);
         let seal = format!("seal-{id}");
@@ -266,6 +276,12 @@
             ));
             return;
         }
+        if state == "draining" {
+            self.drain_acknowledged
+                .lock()
+                .unwrap()
+                .get_or_insert_with(Instant::now);
+        }
         self.released
             .lock()
             .unwrap()
@@ -372,6 +388,16 @@
         held.iter().filter(|(_, until)| *until > now).count()
     }
 
+    /// When the server's announcement that it drains was acknowledged.
+    pub fn drain_acknowledged(&self) -> Option<Instant> {
+        *self.drain_acknowledged.lock().unwrap()
+    }
+
+    /// The requests that have arrived and were not refused with 421.
+    pub fn arrivals(&self) -> Vec<(String, Instant)> {
+        self.arrivals.lock().unwrap().clone()
+    }
+
     /// The length of the answer to the last heartbeat.
     pub fn answer_bytes(&self) -> usize {
         *self.answer_bytes.lock().unwrap()
--- a/review/standins/upload_memory.rs
+++ b/review/standins/upload_memory.rs
@@ -35,6 +35,7 @@
         record,
         &["catalogue", "bookings", "bookings", "bookings"],
         5.0,
+        0.5,
         None,
         WORK,
     );
