--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Shows the case of claim.txt; see ../standins/drain_queue.rs.
+# Shows the case of claim.txt; see ../standins/foreign_beat.rs.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/cases ] || { echo "run review/build.sh first"; exit 2; }
-exec target/review/cases drain-queue review/5
+exec target/review/cases foreign-beat review/5
--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -47,7 +47,28 @@
         behaviour: Option<Behaviour>,
         work: Duration,
     ) -> Self {
-        let mut fleet = Fleet::new(services, "heartbeat");
+        Self::with_fleet(
+            record,
+            Fleet::new(services, "heartbeat"),
+            services,
+            timeout_s,
+            slo_s,
+            behaviour,
+            work,
+        )
+    }
+
+    /// As [`start_with`](Self::start_with), with a fleet whose processes have not
+    /// been started.
+    pub fn with_fleet(
+        record: &Record,
+        mut fleet: Fleet,
+        services: &[&str],
+        timeout_s: f64,
+        slo_s: f64,
+        behaviour: Option<Behaviour>,
+        work: Duration,
+    ) -> Self {
         fleet.start();
         let seen = Arc::new(Mutex::new(Seen::default()));
         let servers: Vec<_> = fleet
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -14,6 +14,7 @@
 mod scale_in;
 mod server;
 mod slow_reader;
+mod three_cores;
 mod upload_memory;
 
 use std::{path::PathBuf, process::exit, thread, time::Duration};
@@ -40,6 +41,7 @@
         "scale-in" => scale_in::run(&record, trouble),
         "drain-queue" => drain_queue::run(&record, trouble),
         "slow-reader" => slow_reader::run(&record, trouble),
+        "three-cores" => three_cores::run(&record, trouble),
         _ => fleet::fail("no such case"),
     };
     record.note(if broken {
