--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -5,6 +5,7 @@
     fs,
     io::{BufRead as _, BufReader, Write as _},
     net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener},
+    os::unix::process::CommandExt as _,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
@@ -22,7 +23,9 @@
 pub const SIGTERM: i32 = 15;
 const SIGXFSZ: i32 = 25;
 const SIG_IGN: usize = 1;
+const PR_SET_PDEATHSIG: i32 = 1;
 const RLIMIT_FSIZE: i32 = 1;
+const RLIMIT_NOFILE: i32 = 7;
 const UNLIMITED: u64 = u64::MAX;
 
 #[repr(C)]
@@ -34,6 +37,7 @@
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn signal(number: i32, handler: usize) -> usize;
+    fn prctl(option: i32, argument: usize, ...) -> i32;
     fn prlimit(pid: i32, resource: i32, new: *const Limit, old: *mut Limit) -> i32;
 }
 
@@ -120,7 +124,8 @@
 
     /// Starts the process. Its output goes through a pipe into a log file.
     pub fn start(&mut self, program: &Path) {
-        let mut child = Command::new(program)
+        let mut command = Command::new(program);
+        command
             .arg("--platform")
             .env_clear()
             .env("PATH", std::env::var_os("PATH").unwrap_or_default())
@@ -128,9 +133,15 @@
             .env("WISTERIAGLADE_CONFIG", &self.settings)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("the program does not start");
+            .stderr(Stdio::null());
+        // The process ends with this one, also if this one is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as usize);
+                Ok(())
+            });
+        }
+        let mut child = command.spawn().expect("the program does not start");
         let output = child.stdout.take().unwrap();
         let mut log = fs::OpenOptions::new()
             .create(true)
@@ -184,6 +195,16 @@
         assert_eq!(result, 0, "the limit cannot be set");
     }
 
+    /// Sets the number of descriptors that the process may have.
+    pub fn limit_descriptors(&self, count: u64) {
+        let limit = Limit {
+            soft: count,
+            hard: count,
+        };
+        let result = unsafe { prlimit(self.pid(), RLIMIT_NOFILE, &limit, std::ptr::null_mut()) };
+        assert_eq!(result, 0, "the limit cannot be set");
+    }
+
     /// The largest resident memory of the process so far, in MB.
     pub fn peak_memory_mb(&self) -> f64 {
         let text = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod foreign_beat;
 mod http;
+mod idle_connections;
 mod many_changes;
 mod operator;
 mod scale_in;
@@ -42,6 +43,7 @@
         "drain-queue" => drain_queue::run(&record, trouble),
         "slow-reader" => slow_reader::run(&record, trouble),
         "three-cores" => three_cores::run(&record, trouble),
+        "idle-connections" => idle_connections::run(&record, trouble),
         _ => fleet::fail("no such case"),
     };
     record.note(if broken {
