Keep the scale-in of review/4 inside its share

Cause: from eight servers to one, the last steps took more than the share of scale_in that the site file has.

Change: 56 servers leave in steps of at most 0.14 until seven are left, with the site whose final fault has down_s = 1.6.

--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -375,7 +375,7 @@
             SERVER_PORT,
             OUTBOUND_PORT,
         ];
-        let is_free = (1..=24).all(|host| {
+        let is_free = (1..=70).all(|host| {
             let ip = Ipv4Addr::new(127, block.0, block.1, host);
             ports
                 .iter()
--- a/review/standins/scale_in.rs
+++ b/review/standins/scale_in.rs
@@ -1,4 +1,4 @@
-//! A service is scaled in to one server; then the final fault strikes: all processes
+//! A service is scaled in to an eighth; then the final fault strikes: all processes
 //! are killed.
 
 use std::{
@@ -14,18 +14,18 @@
 };
 
 /// The servers of the service at the start and at the end.
-const SERVERS: usize = 8;
-const KEPT: usize = 1;
+const SERVERS: usize = 56;
+const KEPT: usize = 7;
 /// The share of the servers that leaves at the same time, at least one: `share` of
 /// `scale_in` in the site file.
 const SHARE: f64 = 0.14;
 /// How long a server that leaves serves on: `drain-s` (2) and a little longer.
-const DRAIN: Duration = Duration::from_millis(2_500);
+const DRAIN: Duration = Duration::from_millis(2_200);
 /// The time between two steps.
-const PAUSE: Duration = Duration::from_millis(1_000);
+const PAUSE: Duration = Duration::from_millis(600);
 /// How long the processes are down: `down_s` of `kill_all` in
-/// `sites/ribeira-mesh.toml`.
-const DOWN: Duration = Duration::from_millis(1_400);
+/// `demands/quispe-mesh-grown.toml`.
+const DOWN: Duration = Duration::from_millis(1_600);
 /// `recovery-s`.
 const RECOVERY: Duration = Duration::from_secs(15);
 /// The requests that are sent before and after.
