--- a/review/standins/many_changes.rs
+++ b/review/standins/many_changes.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     deployment::Deployment,
-    fleet::{Record, SIGKILL, resident_mb},
+    fleet::{Record, SIGKILL, fail, resident_mb},
     operator::{Route, configuration, get, put},
 };
 
@@ -21,6 +21,9 @@
 const CHANGES: u64 = 480;
 /// The time for the changes.
 const TIME: Duration = Duration::from_secs(75);
+/// How long the operator sends an order again without an acknowledgement: longer
+/// than `ack-s` (4) and an election.
+const SILENCE: Duration = Duration::from_secs(12);
 /// `recovery-s`.
 const RECOVERY: Duration = Duration::from_secs(15);
 /// How long the configuration is read back, longer than `contact-s` (3).
@@ -64,26 +67,19 @@
             }
         }
     };
-    for version in 2..2 + CHANGES {
-        if began.elapsed() > TIME {
-            break;
-        }
+    let mut last_answer = Instant::now();
+    while acknowledged <= CHANGES && began.elapsed() < TIME && last_answer.elapsed() < SILENCE {
         platform(&mut deployment, &mut kills);
-        let body = text(version, routes);
-        let status = put(
-            record,
-            &nodes,
-            acknowledged,
-            &body,
-            Duration::from_millis(1_500),
-        );
-        if status == 200 {
-            acknowledged = version;
-        } else if status == 412 {
-            record.note("the configuration before was in force without a clear response");
-            break;
-        } else if kills.iter().filter(|kills| **kills >= ENDS).count() * 2 > nodes.len() {
-            break;
+        // An order without a clear response is sent again unchanged.
+        let body = text(acknowledged + 1, routes);
+        let limit = Duration::from_millis(1_500);
+        match put(record, &nodes, acknowledged, &body, limit) {
+            200 => {
+                acknowledged += 1;
+                last_answer = Instant::now();
+            }
+            412 => fail("an order of the only operator was refused"),
+            _ => {}
         }
     }
     record.note(&format!(
