Write the first group to the log before the first election

Cause: the first group was only a setting of the process that started with `bootstrap=true`.

Change: a replica without durable state writes the group in its settings as the first entry of its log (index 1, term 0) before it does anything else. All first members write the same entry, so their logs agree. One record holds it, so a torn write leaves all of it or nothing.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -100,6 +100,31 @@
     fleet.check();
 }
 
+/// Guards against a control group that has no leader again: its three processes are
+/// killed at the same moment, before the first snapshot, and start again with their
+/// disks and without `bootstrap`.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_control_group_of_three_returns_after_all_are_killed() {
+    let mut fleet = Fleet::start(11, 3, 1, 1).await;
+    wait_until_ready(&fleet).await;
+    let accepted = fleet.configure().await;
+
+    for _ in 0..2 {
+        for host in &mut fleet.hosts[..3] {
+            host.kill();
+        }
+        for host in &mut fleet.hosts[..3] {
+            host.start();
+        }
+        assert_eq!(fleet.version(RECOVERY_BOUND).await, accepted);
+    }
+
+    let next = fleet.configure().await;
+    assert_eq!(fleet.version(RECOVERY_BOUND).await, next);
+    fleet.wait_until_served(4, 7, RECOVERY_BOUND).await;
+    fleet.check();
+}
+
 /// Guards against a group that stays one short, or that loses an accepted plan, when
 /// a control host goes for good and another one with an empty disk comes in its
 /// place, twice: then two of the remaining first replicas are lost, which leaves a
--- a/wisteriaglade-consensus/src/config.rs
+++ b/wisteriaglade-consensus/src/config.rs
@@ -60,9 +60,10 @@
 impl Config {
     /// Creates the default settings of one replica.
     ///
-    /// `members` is the initial group; a group stored in the log or the
-    /// snapshot takes precedence. A replica that joins an existing group is
-    /// created without members and waits for the leader to contact it.
+    /// `members` is the first group, which a replica without durable state writes
+    /// to its log; a group stored in the log or the snapshot takes precedence. A
+    /// replica that joins an existing group is created without members and waits
+    /// for the leader to contact it.
     #[must_use]
     pub fn new(replica: Replica, members: impl IntoIterator<Item = Replica>) -> Self {
         Self {
--- a/wisteriaglade-consensus/src/raft.rs
+++ b/wisteriaglade-consensus/src/raft.rs
@@ -25,6 +25,10 @@
 /// corrupt message cannot bring the numbers close to an overflow.
 const TERM_AND_INDEX_LIMIT: u64 = 1 << 62;
 
+/// The term and the index of the entry that names the first group. Each of its
+/// members writes this entry itself, before any election.
+const FIRST_GROUP: (Term, Index) = (Term::new(0), Index::new(1));
+
 /// One replica of a replicated log.
 ///
 /// Its outputs depend only on its inputs, the times passed with them and the
@@ -53,6 +57,8 @@
     snapshot: Option<Snapshot>,
     /// Whether the next step must output the snapshot that storage restored.
     restore_pending: bool,
+    /// Whether the next step must output the entry of the first group for storage.
+    first_group_pending: bool,
     /// The last entry known to be committed, which has also been output for the
     /// state machine.
     commit_index: Index,
@@ -89,7 +95,9 @@
     ///
     /// `now` is the time since an arbitrary epoch, which must be the same for
     /// every step. When there is a snapshot, the first step outputs it as
-    /// [`Output::Restore`].
+    /// [`Output::Restore`]. When there is no durable state at all, the members in the
+    /// settings become the first entry of the log, which the first step outputs for
+    /// storage: from then on the settings may name no members.
     ///
     /// # Panics
     ///
@@ -98,6 +106,7 @@
     /// returns an error in both cases.
     #[must_use]
     pub fn new(config: Config, restored: Restored, now: Duration) -> Self {
+        let is_new = restored == Restored::default() && !config.members.is_empty();
         let Restored {
             vote,
             snapshot,
@@ -111,6 +120,15 @@
         for entry in entries {
             log.push(entry);
         }
+        if is_new {
+            let (term, index) = FIRST_GROUP;
+            let payload = Payload::Members(log.members().to_vec());
+            log.push(Entry {
+                index,
+                term,
+                payload,
+            });
+        }
         assert!(
             log.last_term() <= vote.term,
             "the log contains term {}, but the stored vote is of term {}",
@@ -120,6 +138,7 @@
         let mut raft = Self {
             vote,
             restore_pending: snapshot.is_some(),
+            first_group_pending: is_new,
             snapshot,
             commit_index,
             persisted_index: log.last(),
@@ -176,6 +195,11 @@
         {
             outputs.push(Output::Restore(snapshot.clone()));
         }
+        if std::mem::take(&mut self.first_group_pending) {
+            let entries = self.log.slice(FIRST_GROUP.1, FIRST_GROUP.1);
+            let entries = entries.expect("a new log is in memory").to_vec();
+            outputs.push(Output::Persist(Change::Append(entries)));
+        }
         for input in inputs {
             if !matches!(input, Input::Propose { .. }) {
                 self.flush(outputs);
--- /dev/null
+++ b/wisteriaglade-consensus/tests/first_group.rs
@@ -0,0 +1,150 @@
+//! Tests of the first group: how it starts, and how it comes back before there is
+//! a snapshot.
+
+mod support;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use support::{network::Network, replica::*};
+use wisteriaglade_consensus::{Config, Input, Output, Raft, Restored, Role, storage::Storage};
+
+/// Crashes all replicas at once. When they start again, their settings name no
+/// group.
+fn restart_without_settings(network: &mut Network) {
+    for id in network.ids() {
+        network.crash(id);
+        let node = network.nodes.get_mut(&id).expect("a replica");
+        node.config = Config::new(id, []);
+    }
+}
+
+/// Creates a member of a group of three with an empty disk.
+fn blank() -> Raft {
+    let config = Config::new(OWN, [OWN, SECOND_REPLICA, THIRD_REPLICA]);
+    Raft::new(config, Restored::default(), Duration::ZERO)
+}
+
+/// Guards against a group that has no leader again because only its settings at
+/// the first start named its members: killed before and after the first election,
+/// with and without acknowledged entries, before there is a snapshot.
+#[rstest]
+#[case::at_the_start(10)]
+#[case::during_the_election(600)]
+#[case::after_the_election(1_500)]
+fn a_group_returns_without_a_snapshot(
+    #[case] ran_ms: u64,
+    #[values(1, 2, 3, 5)] members: u64,
+    #[values(0, 3)] proposals: u64,
+) {
+    for seed in 0..10 {
+        let mut network = Network::new(seed, members, 0, |config| config);
+        network.run(Duration::from_millis(ran_ms));
+        if ran_ms > 1_000 {
+            for _ in 0..proposals {
+                network.commit_one();
+            }
+        }
+
+        restart_without_settings(&mut network);
+        network.run(3 * SECOND);
+        network.commit_one();
+
+        let leader = network.wait_for_leader();
+        let values = &network.running(leader).values;
+        let acknowledged = &network.history.acknowledged;
+        assert!(acknowledged.iter().all(|value| values.contains(value)));
+        assert_eq!(network.raft(leader).members().len() as u64, members);
+    }
+}
+
+/// Guards against the loss of the group when it has grown by a replica and all
+/// members restart before there is a snapshot.
+#[test]
+fn a_group_that_has_grown_returns_without_a_snapshot() {
+    for seed in 0..10 {
+        let mut network = Network::new(seed, 3, 1, |config| config);
+        network.commit_one();
+        let leader = network.wait_for_leader();
+        network.change(leader, network.ids());
+        network.run(3 * SECOND);
+
+        restart_without_settings(&mut network);
+        network.run(3 * SECOND);
+        network.commit_one();
+
+        let leader = network.wait_for_leader();
+        assert_eq!(network.raft(leader).members(), network.ids());
+    }
+}
+
+/// Guards against a joined replica that loses sight of the group, because its log
+/// lacks the entry that names the first members.
+#[test]
+fn a_joined_replica_learns_the_first_group_from_the_log() {
+    let mut network = Network::new(1, 3, 1, |config| config);
+    network.commit_one();
+    let leader = network.wait_for_leader();
+    let all = network.ids();
+    let joined = all[3];
+    network.change(leader, all.clone());
+    network.run(3 * SECOND);
+    network.compact(joined);
+
+    network.change(leader, all[..3].to_vec());
+    network.run(3 * SECOND);
+
+    assert_eq!(network.raft(leader).members(), &all[..3]);
+    let known = network.raft(joined).members();
+    assert!(known == all || known == &all[..3], "{known:?}");
+}
+
+/// Guards against a group that changes with the settings of a process: what the
+/// log names as the first group holds.
+#[test]
+fn the_group_in_the_log_goes_before_that_of_the_settings() {
+    let mut network = Network::new(1, 3, 0, |config| config);
+    network.commit_one();
+    let ids = network.ids();
+    for id in &ids {
+        network.crash(*id);
+        let node = network.nodes.get_mut(id).expect("a replica");
+        node.config = Config::new(*id, [*id]);
+    }
+
+    network.run(3 * SECOND);
+    network.commit_one();
+
+    for id in &ids {
+        assert_eq!(network.raft(*id).members(), ids);
+    }
+}
+
+/// Guards against a first group that is torn by a loss of power: a replica has it
+/// whole, or its log is empty and it votes for nobody.
+#[test]
+fn a_torn_write_of_the_first_group_leaves_no_part_of_it() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let (mut storage, _) = Storage::open(directory.path()).expect("an empty log");
+    let mut raft = blank();
+    for output in step(&mut raft, Duration::ZERO, Input::Tick) {
+        if let Output::Persist(change) = output {
+            storage.persist(&change).expect("a write");
+        }
+    }
+    drop(storage);
+    let segment = directory.path().join("log-00000000000000000001");
+    let whole = std::fs::read(&segment).expect("the first segment");
+
+    for length in 0..=whole.len() {
+        std::fs::write(&segment, &whole[..length]).expect("a torn segment");
+        let (storage, restored) = Storage::open(directory.path()).expect("a readable log");
+        let mut raft = Raft::new(Config::new(OWN, []), restored, Duration::ZERO);
+        let outputs = step(&mut raft, 2 * SECOND, Input::Tick);
+        drop(storage);
+
+        let is_whole = length == whole.len();
+        assert_eq!(raft.members().len(), if is_whole { 3 } else { 0 });
+        assert_eq!(raft.role() == Role::PreCandidate, is_whole, "{outputs:?}");
+    }
+}
