Give no vote to an established group from an empty disk

Cause: a replica of the daemon keeps its id in the settings. After the loss of its disk it took its place in the group from them, voted at once, and could elect a replica that lacked entries which it had acknowledged before.

Change: with `Config::fixed_ids`, which the daemon sets, a replica whose log holds the first group alone and that has not voted refuses candidates with more than that, until a leader has sent it entries. The fleet doesn't set it: there an empty disk means a new id without a group. Tried for all groups and dropped: in 8 of 8 parts of keeps_committed_entries a group that had changed got no leader any more.

--- a/wisteriaglade-consensus/src/config.rs
+++ b/wisteriaglade-consensus/src/config.rs
@@ -55,6 +55,7 @@
     pub(crate) max_inflight_messages: usize,
     pub(crate) max_uncommitted_entries: usize,
     pub(crate) retained_entries: usize,
+    pub(crate) fixed_ids: bool,
 }
 
 impl Config {
@@ -78,6 +79,7 @@
             max_inflight_messages: MAX_INFLIGHT_MESSAGES,
             max_uncommitted_entries: MAX_UNCOMMITTED_ENTRIES,
             retained_entries: RETAINED_ENTRIES,
+            fixed_ids: false,
         }
     }
 
@@ -152,4 +154,16 @@
         self.retained_entries = entries;
         self
     }
+
+    /// Sets whether a replica has the same id again after the loss of its disk,
+    /// false by default.
+    ///
+    /// Such a replica has forgotten its votes and the entries that it acknowledged.
+    /// With this setting, a replica that has only the first group votes for nobody
+    /// who has more, until it has entries of a leader.
+    #[must_use]
+    pub fn fixed_ids(mut self, fixed: bool) -> Self {
+        self.fixed_ids = fixed;
+        self
+    }
 }
--- a/wisteriaglade-consensus/src/raft.rs
+++ b/wisteriaglade-consensus/src/raft.rs
@@ -245,6 +245,9 @@
             // A vote request while a leader is alive must not raise the term:
             // it would depose that leader.
             Message::RequestVote { .. } if term > self.vote.term && self.has_leader() => return,
+            Message::RequestVote {
+                last, last_term, ..
+            } if !self.may_vote_for((last_term, last)) => return,
             _ => {}
         }
         if term < self.vote.term {
--- a/wisteriaglade-consensus/src/raft/election.rs
+++ b/wisteriaglade-consensus/src/raft/election.rs
@@ -2,6 +2,7 @@
 
 use wisteriaglade_types::{Index, Term};
 
+use super::FIRST_GROUP;
 use crate::{Message, Output, Raft, Replica, Role, Vote};
 
 impl Raft {
@@ -62,7 +63,10 @@
         last: (Term, Index),
         outputs: &mut Vec<Output>,
     ) {
-        let granted = term > self.vote.term && !self.has_leader() && self.is_up_to_date(last);
+        let granted = term > self.vote.term
+            && !self.has_leader()
+            && self.may_vote_for(last)
+            && self.is_up_to_date(last);
         let term = if granted { term } else { self.vote.term };
         self.send(from, Message::PreVoteResponse { term, granted }, outputs);
     }
@@ -128,6 +132,18 @@
         last >= (self.log.last_term(), self.log.last())
     }
 
+    /// Whether this replica may vote for a candidate with this last entry.
+    ///
+    /// With fixed ids, a replica that has the first group alone and has not voted is
+    /// new, or it has lost its disk, with entries that it acknowledged and votes that
+    /// it gave. A candidate with more than the first group shows that there was a
+    /// leader, so this replica waits for the entries of one.
+    pub(super) fn may_vote_for(&self, last: (Term, Index)) -> bool {
+        let own = (self.log.last_term(), self.log.last());
+        let may_have_lost_disk = own == FIRST_GROUP && self.vote.voted_for.is_none();
+        !(self.config.fixed_ids && may_have_lost_disk) || last <= FIRST_GROUP
+    }
+
     /// Whether a majority of the current group has granted the vote.
     fn has_majority(&self) -> bool {
         let members = self.log.members();
--- a/wisteriaglade-consensus/tests/first_group.rs
+++ b/wisteriaglade-consensus/tests/first_group.rs
@@ -6,8 +6,11 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use support::{network::Network, replica::*};
-use wisteriaglade_consensus::{Config, Input, Output, Raft, Restored, Role, storage::Storage};
+use support::{disk::MemoryDisk, network::Network, replica::*};
+use wisteriaglade_consensus::{
+    Config, Input, Message, Output, Raft, Restored, Role, storage::Storage,
+};
+use wisteriaglade_types::{Index, Term};
 
 /// Crashes all replicas at once. When they start again, their settings name no
 /// group.
@@ -25,6 +28,32 @@
     Raft::new(config, Restored::default(), Duration::ZERO)
 }
 
+/// Creates a request for a vote in a term, by a candidate with this last entry.
+fn request_vote(term: u64, (last_term, last): (u64, u64)) -> Message {
+    Message::RequestVote {
+        term: Term::new(term),
+        last: Index::new(last),
+        last_term: Term::new(last_term),
+    }
+}
+
+/// Whether the outputs hold a granted vote.
+fn grants_vote(outputs: &[Output]) -> bool {
+    outputs.iter().any(|output| {
+        let Output::Send { message, .. } = output else {
+            return false;
+        };
+        matches!(message, Message::VoteResponse { granted: true, .. })
+    })
+}
+
+/// Creates a member with an empty disk, whose group keeps its ids.
+fn with_fixed_ids() -> Raft {
+    let members = [OWN, SECOND_REPLICA, THIRD_REPLICA];
+    let config = Config::new(OWN, members).fixed_ids(true);
+    Raft::new(config, Restored::default(), Duration::ZERO)
+}
+
 /// Guards against a group that has no leader again because only its settings at
 /// the first start named its members: killed before and after the first election,
 /// with and without acknowledged entries, before there is a snapshot.
@@ -148,3 +177,71 @@
         assert_eq!(raft.role() == Role::PreCandidate, is_whole, "{outputs:?}");
     }
 }
+
+/// Guards against an acknowledged entry that is lost because a replica has lost its
+/// disk, returns under its number and helps to elect a candidate that lacks the
+/// entry. At the first start, when no replica has more than the first group, it
+/// votes.
+#[rstest]
+#[case::first_start((0, 1), true)]
+#[case::established_group((1, 2), false)]
+fn a_replica_with_an_empty_disk_votes_only_at_the_first_start(
+    #[case] last: (u64, u64),
+    #[case] expected: bool,
+) {
+    let mut raft = with_fixed_ids();
+    step(&mut raft, Duration::ZERO, Input::Tick);
+
+    let outputs = receive(&mut raft, SECOND_REPLICA, request_vote(3, last));
+
+    assert_eq!(grants_vote(&outputs), expected);
+}
+
+/// Guards against a replica that never votes again once it had an empty disk: it
+/// does after a leader has contacted it.
+#[test]
+fn a_replica_with_an_empty_disk_votes_after_it_has_followed_a_leader() {
+    let mut raft = with_fixed_ids();
+    step(&mut raft, Duration::ZERO, Input::Tick);
+    receive(
+        &mut raft,
+        SECOND_REPLICA,
+        append_entries(1, (1, 0), 0, &[1, 1]),
+    );
+
+    let message = request_vote(2, (1, 3));
+    let from = THIRD_REPLICA;
+    let outputs = step(&mut raft, 5 * SECOND, Input::Message { from, message });
+
+    assert!(grants_vote(&outputs), "{outputs:?}");
+}
+
+/// Guards against the loss of an acknowledged entry when one of three replicas
+/// loses its disk, the leader stops, and the third lacks the entry.
+#[test]
+fn a_lost_disk_and_a_stopped_leader_lose_no_acknowledged_entry() {
+    for seed in 0..20 {
+        let mut network = Network::new(seed, 3, 0, |config| config.fixed_ids(true));
+        network.commit_one();
+        let leader = network.wait_for_leader();
+        let ids = network.ids().into_iter();
+        let others: Vec<_> = ids.filter(|id| *id != leader).collect();
+        network.split(&others[..1]);
+        network.commit_one();
+
+        network.cut_links.clear();
+        network.split(&[leader]);
+        network.crash(others[1]);
+        let wiped = network.nodes.get_mut(&others[1]).expect("a replica");
+        wiped.disk = MemoryDisk::default();
+        network.run(10 * SECOND);
+        network.cut_links.clear();
+        network.run(3 * SECOND);
+        network.commit_one();
+
+        let leader = network.wait_for_leader();
+        let values = &network.running(leader).values;
+        let acknowledged = &network.history.acknowledged;
+        assert!(acknowledged.iter().all(|value| values.contains(value)));
+    }
+}
--- a/wisteriaglade-node/src/replica/worker.rs
+++ b/wisteriaglade-node/src/replica/worker.rs
@@ -142,7 +142,8 @@
         Replica::new(options.id),
         options.members.iter().copied().map(Replica::new),
     )
-    .seed(options.seed);
+    .seed(options.seed)
+    .fixed_ids(true);
     let raft = Raft::new(config, restored, options.clock.now());
     let (commit, commits) = watch::channel(applied);
     let (inbox, inputs) = mpsc::channel();
