Take heartbeats of a host's own service only

Cause: the host compared the address and the start time of a heartbeat, not its service. The sender took the place of the target, and a replaced target counts as ended at once.

Change: a heartbeat whose service is not that of the settings is answered with 400, as one with another address was.

--- /dev/null
+++ b/tests/foreign.rs
@@ -0,0 +1,99 @@
+//! System tests of heartbeats and leave messages that come from another writer than
+//! the server of a host, with real processes.
+
+mod support;
+
+use std::time::Duration;
+
+use http::StatusCode;
+use rstest::rstest;
+use serde_json::{Value, json};
+use support::platform::{Fleet, Servers};
+use tokio::time::sleep;
+
+/// The bound for a new fleet to assign the keys and serve.
+const START_BOUND: Duration = Duration::from_secs(15);
+
+/// The time in which keys that were taken from a server would have another holder.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
+/// A start time later than that of every server, in Unix milliseconds.
+const LATER_START: u64 = 4_000_000_000_000;
+
+/// The host whose server is impersonated; it serves the keyed service.
+const HOST: usize = 1;
+
+/// Returns a complete heartbeat for the server on [`HOST`] that starts at
+/// [`LATER_START`], with some fields replaced, or removed by null.
+fn heartbeat(fleet: &Fleet, changes: &Value) -> String {
+    let mut body = json!({
+        "service": "keyed", "address": fleet.hosts[HOST].server().to_string(), "zone": "a",
+        "version": "v1", "slots": 6, "state": "ready", "cold-remaining-s": 0, "seq": 1,
+        "born": LATER_START, "holds": [], "released": [],
+    });
+    for (field, value) in changes.as_object().expect("fields") {
+        match value {
+            Value::Null => body.as_object_mut().expect("fields").remove(field),
+            _ => body
+                .as_object_mut()
+                .expect("fields")
+                .insert(field.clone(), value.clone()),
+        };
+    }
+    body.to_string()
+}
+
+/// Starts a fleet with three keyed servers, each of which holds keys.
+async fn start(servers: Servers) -> Fleet {
+    let fleet = Fleet::start_with(31, 1, 3, 1, servers).await;
+    for key in (0..=u16::MAX).step_by(4_096) {
+        fleet.wait_until_served(HOST, key, START_BOUND).await;
+    }
+    assert!(!fleet.arrivals(HOST).is_empty(), "the server holds no keys");
+    fleet
+}
+
+/// Sends a message to the process on [`HOST`].
+async fn send(fleet: &Fleet, call: &str, id: &str, body: String) -> StatusCode {
+    let path = format!("/rpc?call=instances.{call}&of={id}");
+    let address = fleet.hosts[HOST].control();
+    let answer = fleet.client.send(address, "POST", &path, &[], body).await;
+    answer.expect("an answer").status
+}
+
+/// Checks that the server on [`HOST`] still holds keys and serves them, and that no
+/// key has had two holders.
+async fn assert_server_keeps_its_keys(fleet: &Fleet) {
+    sleep(SETTLE_TIME).await;
+    let before = fleet.arrivals(HOST).len();
+    for key in (0..=u16::MAX).step_by(1_024) {
+        let id = format!("read-{key}");
+        let (status, text) = fleet.request(HOST, "read", &id, key).await;
+        assert_eq!(status, StatusCode::OK, "{text}");
+    }
+    assert!(fleet.arrivals(HOST).len() > before, "it serves no keys");
+    fleet.check();
+}
+
+/// Guards against keys that are taken from a running server and granted to others
+/// while it holds them: a heartbeat at its host names a service that does not exist,
+/// or that is not the one of the host.
+#[rstest]
+#[case::unknown("unheard")]
+#[case::of_another_host("plain")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_heartbeat_for_another_service_takes_no_keys(
+    #[case] service: &str,
+    #[values(Servers::Heartbeat, Servers::Call)] servers: Servers,
+    #[values(false, true)] has_own_id: bool,
+) {
+    let fleet = start(servers).await;
+    let own_id = fleet.server_id(HOST);
+    let id = if has_own_id { &own_id } else { "i-elsewhere" };
+    let body = heartbeat(&fleet, &json!({ "service": service }));
+
+    let status = send(&fleet, "heartbeat", id, body).await;
+
+    assert_server_keeps_its_keys(&fleet).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -71,6 +71,11 @@
         ports.into_iter().map(address).collect()
     }
 
+    /// The address that the host's server takes requests on.
+    pub fn server(&self) -> SocketAddr {
+        (self.address, RELAY_PORT).into()
+    }
+
     /// Starts the process.
     pub fn start(&mut self) {
         self.process = Some(Process::start_platform(&self.settings, &self.log));
@@ -385,7 +390,8 @@
         own.cloned().collect()
     }
 
-    fn server_id(&self, host: usize) -> String {
+    /// The id of the server on a host.
+    pub fn server_id(&self, host: usize) -> String {
         format!("i-{}", self.hosts[host].address)
     }
 
--- a/wisteriaglade-fleet/src/host/heartbeats.rs
+++ b/wisteriaglade-fleet/src/host/heartbeats.rs
@@ -18,6 +18,7 @@
     dialect::Call,
     lock, read,
     server::{self, Service},
+    settings::Beside,
 };
 
 /// The largest body of a heartbeat in bytes, enough for a few hundred key
@@ -55,7 +56,8 @@
     }
 
     /// Handles a heartbeat; the response holds the grant. A heartbeat with the
-    /// address of another target is answered with 400, an outdated one with 409.
+    /// address or the pool of another target is answered with 400, one that is
+    /// outdated with 409.
     fn handle_heartbeat(&self, target: &Name, body: &[u8]) -> Response<Full<Bytes>> {
         let host = &self.host;
         let heartbeat = match D::decode_heartbeat(target, body) {
@@ -65,11 +67,16 @@
                 return Self::error_response(StatusCode::BAD_REQUEST, &error.to_string());
             }
         };
-        if heartbeat.address != host.sidecar.target {
-            warn!(event = "beat-foreign", target = %target, address = %heartbeat.address);
+        let Beside {
+            target: address,
+            pool,
+            ..
+        } = &host.sidecar;
+        if heartbeat.address != *address || heartbeat.pool != *pool {
+            warn!(event = "beat-foreign", target = %target, address = %heartbeat.address, pool = %heartbeat.pool);
             return Self::error_response(
                 StatusCode::BAD_REQUEST,
-                "the address is not of this host's target",
+                "the address or the service is not that of this host's target",
             );
         }
         let now = host.clock.now();
