Refuse heartbeats that lack a field or have one of another type

Cause: the decoder ignored the zone and the version and had a default for the cold start. A heartbeat of another writer without them took the place of a running server, whose keys then had two holders.

--- a/tests/foreign.rs
+++ b/tests/foreign.rs
@@ -97,3 +97,23 @@
     assert_server_keeps_its_keys(&fleet).await;
     assert_eq!(status, StatusCode::BAD_REQUEST);
 }
+
+/// Guards against keys that are taken from a running server by a heartbeat of another
+/// writer that lacks a field or has one of another type or out of range.
+#[rstest]
+#[case::no_zone(json!({ "zone": null }))]
+#[case::version_as_list(json!({ "version": ["v1"] }))]
+#[case::no_cold_start(json!({ "cold-remaining-s": null }))]
+#[case::unknown_state(json!({ "state": "resting" }))]
+#[case::no_start(json!({ "born": null }))]
+#[case::port_out_of_range(json!({ "address": "127.0.0.1:99999" }))]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_incomplete_heartbeat_takes_no_keys(#[case] changes: Value) {
+    let fleet = start(Servers::Heartbeat).await;
+    let body = heartbeat(&fleet, &changes);
+
+    let status = send(&fleet, "heartbeat", "i-elsewhere", body).await;
+
+    assert_server_keeps_its_keys(&fleet).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+}
