Replace a target only after it has missed a heartbeat

Cause: a heartbeat of another id or a later start time took the place of a target at once, and the leader gave the target's keys to others, although its own heartbeats went on. With equal start times two senders took turns.

Change: another process takes the place of a target only if it started later and the target has not been heard for 1.25 heartbeat intervals. Until then it is answered with 409; a server that starts again sooner is taken with its second heartbeat.

Leave messages of others had no effect before and have a test now.

--- a/tests/foreign.rs
+++ b/tests/foreign.rs
@@ -117,3 +117,44 @@
     assert_server_keeps_its_keys(&fleet).await;
     assert_eq!(status, StatusCode::BAD_REQUEST);
 }
+
+/// Guards against keys that are taken from a running server by a heartbeat that is
+/// complete but names another process at its address.
+#[rstest]
+#[case::another_id("i-elsewhere", LATER_START)]
+#[case::a_huge_start("i-elsewhere", u64::MAX)]
+#[case::an_early_start("i-elsewhere", 1)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_is_heard_keeps_its_keys(
+    #[case] id: &str,
+    #[case] born: u64,
+    #[values(Servers::Heartbeat, Servers::Call)] servers: Servers,
+) {
+    let fleet = start(servers).await;
+    let body = heartbeat(&fleet, &json!({ "born": born }));
+
+    let status = send(&fleet, "heartbeat", id, body).await;
+
+    assert_server_keeps_its_keys(&fleet).await;
+    assert_eq!(status, StatusCode::CONFLICT);
+}
+
+/// Guards against a server that is out of use, or loses keys that it holds, after a
+/// leave message of another process.
+#[rstest]
+#[case::another_id(false, json!({}))]
+#[case::another_start(true, json!({ "born": 1 }))]
+#[case::a_start_of_another_type(true, json!({ "born": "soon" }))]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leave_message_of_another_process_takes_no_keys(
+    #[case] has_own_id: bool,
+    #[case] body: Value,
+) {
+    let fleet = start(Servers::Heartbeat).await;
+    let own_id = fleet.server_id(HOST);
+    let id = if has_own_id { &own_id } else { "i-elsewhere" };
+
+    send(&fleet, "leave", id, body.to_string()).await;
+
+    assert_server_keeps_its_keys(&fleet).await;
+}
--- a/wisteriaglade-fleet/src/host/tracker.rs
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -23,6 +23,11 @@
 /// heartbeat intervals.
 const SILENCE_INTERVALS: f64 = 2.6;
 
+/// The time without a heartbeat after which another process may take the place of a
+/// target, in heartbeat intervals. A target that is still heard has not ended,
+/// whatever another sender says.
+const REPLACEABLE_INTERVALS: f64 = 1.25;
+
 /// The longest time for which a target runs after it announced that it leaves.
 /// A heartbeat that comes later under the same id is that of a new process.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -282,8 +287,8 @@
 
     /// Takes a heartbeat. Returns the grant for its answer, if ranges are granted
     /// there, and whether a report should be sent to the leader immediately. Returns `None`
-    /// for a heartbeat of an earlier process or one that was overtaken by a later
-    /// one. A new target is granted no key ranges until the next
+    /// for a heartbeat of an earlier process, for one that was overtaken by a later
+    /// one, and for one of another process while the target is still heard. A new target is granted no key ranges until the next
     /// [`update_keyspaces`](Self::update_keyspaces).
     pub(super) fn apply_heartbeat(
         &mut self,
@@ -298,11 +303,22 @@
         let mut report_now = false;
         let is_new_target = self.state.as_ref().is_none_or(|state| state.owner != owner);
         if is_new_target {
-            if let Some(state) = &self.state
-                && state.owner.started_ms > owner.started_ms
-            {
-                info!(event = "beat-stale", target = %owner.target, born = owner.started_ms);
-                return None;
+            if let Some(state) = &self.state {
+                if state.owner.started_ms >= owner.started_ms {
+                    info!(event = "beat-stale", target = %owner.target, born = owner.started_ms);
+                    return None;
+                }
+                let heard_ago = now.saturating_sub(state.last_heartbeat);
+                if heard_ago < self.heartbeat_interval.mul_f64(REPLACEABLE_INTERVALS) {
+                    info!(
+                        event = "beat-unconfirmed",
+                        target = %owner.target,
+                        born = owner.started_ms,
+                        known = %state.owner.target,
+                        heard_ms_ago = heard_ago.as_millis()
+                    );
+                    return None;
+                }
             }
             info!(event = "target", target = %owner.target, born = owner.started_ms, pool = %heartbeat.pool, slots = heartbeat.slots);
             report_now = true;
--- a/wisteriaglade-fleet/src/host/tracker/tests.rs
+++ b/wisteriaglade-fleet/src/host/tracker/tests.rs
@@ -76,3 +76,48 @@
 
     assert_eq!(tracker.condition(), Some(condition));
 }
+
+/// Passes the heartbeats of a target that started at 1 s to a tracker, until one at
+/// 10 s.
+fn heard_until_ten_seconds() -> Tracker {
+    let mut tracker = Tracker::new(&settings(), Duration::ZERO);
+    for second in 1..=10 {
+        let beat = Heartbeat {
+            seq: second,
+            ..heartbeat(1_000)
+        };
+        tracker.apply_heartbeat(Duration::from_secs(second), &beat);
+    }
+    tracker
+}
+
+// Guards against a target that loses its keys while it holds them: another sender
+// names its address, and the target has not missed a heartbeat. One that was
+// restarted takes the place of its former process once that is not heard any more.
+#[rstest]
+#[case::another_id("i-2", 2_000, 500, false)]
+#[case::the_same_id("i-1", 2_000, 500, false)]
+#[case::the_same_start("i-2", 1_000, 1_500, false)]
+#[case::an_earlier_start("i-2", 900, 1_500, false)]
+#[case::another_id_after_a_missed_heartbeat("i-2", 2_000, 1_500, true)]
+#[case::the_same_id_after_a_missed_heartbeat("i-1", 2_000, 1_500, true)]
+fn a_target_that_is_heard_is_not_replaced(
+    #[case] target: &str,
+    #[case] born: u64,
+    #[case] heard_ms_ago: u64,
+    #[case] expected: bool,
+) {
+    let mut tracker = heard_until_ten_seconds();
+    let now = Duration::from_millis(10_000 + heard_ms_ago);
+    let beat = Heartbeat {
+        target: Name::from(target),
+        ..heartbeat(born)
+    };
+
+    let answer = tracker.apply_heartbeat(now, &beat);
+
+    assert_eq!(answer.is_some(), expected);
+    let owner = tracker.owner().expect("a target");
+    let is_replaced = owner.target.as_str() == target && owner.started_ms == born;
+    assert_eq!(is_replaced, expected);
+}
