--- a/tests/foreign.rs
+++ b/tests/foreign.rs
@@ -158,3 +158,56 @@
 
     assert_server_keeps_its_keys(&fleet).await;
 }
+
+/// The time after which the server on [`HOST`] counts as silent and another process may
+/// take its place: several heartbeat intervals.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Guards against processes that end, or stop following the others, because of one odd
+/// entry for a server: deeply nested, with a number too large, a port out of range, or
+/// ranges that cannot be. It comes for a host whose own server has ended, so that it
+/// is not refused for being another one.
+#[rstest]
+#[case::nested_service(json!({ "service": nested(100) }))]
+#[case::nested_field(json!({ "more": nested(120) }))]
+#[case::most_slots(json!({ "slots": u32::MAX }))]
+#[case::no_slots(json!({ "slots": 0 }))]
+#[case::start_and_sequence(json!({ "born": u64::MAX, "seq": u64::MAX }))]
+#[case::long_cold_start(json!({ "cold-remaining-s": 1.8e19 }))]
+#[case::port_out_of_range(json!({ "address": "127.0.0.1:70000" }))]
+#[case::impossible_ranges(json!({
+    "holds": [[65535, 0, u64::MAX], [0, 65535, u64::MAX]],
+    "released": [[65535, 0, "x"], [0, 65535, "y"]]
+}))]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_entry_stops_no_process(
+    #[case] changes: Value,
+    #[values(Servers::Heartbeat, Servers::Call)] servers: Servers,
+) {
+    let mut fleet = start(servers).await;
+    fleet.stop_server(HOST);
+    sleep(SILENCE).await;
+
+    for _ in 0..3 {
+        let body = heartbeat(&fleet, &changes);
+        send(&fleet, "heartbeat", "i-elsewhere", body).await;
+    }
+    sleep(SETTLE_TIME).await;
+
+    // Nothing answers under that name, so the keys go back to the other servers.
+    for key in (0..=u16::MAX).step_by(4_096) {
+        fleet.wait_until_served(HOST, key, START_BOUND).await;
+    }
+    let version = fleet.configure().await;
+    assert_eq!(fleet.version(START_BOUND).await, version);
+    for host in &mut fleet.hosts {
+        assert_eq!(host.process.as_mut().unwrap().exit_status(), None);
+        assert!(!host.log().contains("panicked"), "{}", host.log());
+    }
+    fleet.check();
+}
+
+/// Returns lists in lists.
+fn nested(depth: usize) -> Value {
+    (0..depth).fold(json!([]), |inner, _| json!([inner]))
+}
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// What the process has written to its log and to standard error.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     /// Deletes the data directory, as the loss of the disk would.
     pub fn delete_data(&self) {
         let _ = std::fs::remove_dir_all(&self.data);
@@ -297,6 +302,15 @@
         })
     }
 
+    /// Ends the server on a host, which then holds nothing.
+    pub fn stop_server(&mut self, host: usize) {
+        if let Some(server) = self.hosts[host].server.take() {
+            server.abort();
+        }
+        let id = self.server_id(host);
+        self.observations.lock().unwrap().record_end(&id);
+    }
+
     /// Injects a fault into the connections between a host and its target.
     pub fn inject_fault(&self, host: usize, fault: LinkFault) {
         let (near, far) = (Endpoint::Host(host), Endpoint::Target(host));
--- a/tests/support/server.rs
+++ b/tests/support/server.rs
@@ -132,6 +132,14 @@
         );
     }
 
+    /// Records that a server has ended, and with it all that it held.
+    pub(super) fn record_end(&mut self, server: &str) {
+        let holders = self.holders.values_mut();
+        for holder in holders.filter(|holder| holder.server == server) {
+            holder.until = Instant::now();
+        }
+    }
+
     /// Records that a server has released a sampled key.
     fn record_release(&mut self, sample: u16, server: &str) {
         if let Some(holder) = self.holders.get_mut(&sample)
