Rule out copied refusals and heads that stop halfway

Reports: the copy of an earlier refusal on a kept connection told callers "not run" for requests that a server had run or was running, or such a request ran at a second server; a server that stopped in the head of its answer made a 200 with an empty or short body.

Shown: neither happens here. a_copy_of_a_refusal_during_the_work_is_no_refusal sends the copy, with and without an id, 40 ms into the work on the next request, with two targets. an_answer_that_stops_in_its_head_is_no_success and a_response_that_stops_in_its_head_is_no_success (daemon) stop after each number of bytes up to the end of the head, close or reset, with three framings.

--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -116,6 +116,47 @@
     fleet.check();
 }
 
+/// Guards against a request that is reported as not run, or runs at a second target,
+/// while its target works on it: the copy of an earlier refusal comes on its connection
+/// meanwhile.
+#[rstest]
+#[case::with_its_id(228, "shed")]
+#[case::without_an_id(229, "anonymous")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_of_a_refusal_during_the_work_is_no_refusal(#[case] seed: u8, #[case] fault: &str) {
+    let fleet = Fleet::start_with(seed, 1, 0, 2, Servers::Faulty).await;
+    let bound = Instant::now() + START_BOUND;
+    let mut attempt = 0;
+    while fleet
+        .request(1, "book", &format!("book-start-{attempt}"), 0)
+        .await
+        .0
+        != StatusCode::OK
+    {
+        assert!(Instant::now() < bound, "the fleet does not serve");
+        attempt += 1;
+        sleep(Duration::from_millis(50)).await;
+    }
+    let mut runs = 0;
+
+    for number in 0..12 {
+        fleet
+            .request(1, "book", &format!("book-{fault}-0-{number}"), 0)
+            .await;
+        let id = format!("book-during-40-{number}");
+        let (status, text) = fleet.request(1, "book", &id, 0).await;
+        sleep(Duration::from_millis(100)).await;
+        let run = fleet.observations.lock().unwrap().runs.get(&id).copied();
+        runs += run.unwrap_or(0);
+        let says_not_run = status == StatusCode::SERVICE_UNAVAILABLE;
+        assert!(run.is_none() || !says_not_run, "{id} ran: {status} {text}");
+        assert!(run.unwrap_or(0) <= 1, "{id} ran {run:?} times: {status}");
+    }
+
+    assert!(runs > 0, "no request ran");
+    fleet.check();
+}
+
 /// Guards against an answer to the first attempt of a read that is taken for the
 /// answer to the second one: the first attempt meets the second copy of an earlier
 /// answer, and its own answer comes later on the same connection.
@@ -150,6 +191,29 @@
     fleet.check();
 }
 
+/// Guards against a success with an empty or short body that looks whole: the target
+/// stops after any number of bytes of its answer's head, and closes or resets the
+/// connection.
+#[rstest]
+#[case::closed(230, "stop")]
+#[case::reset(231, "halt")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_stops_in_its_head_is_no_success(#[case] seed: u8, #[case] fault: &str) {
+    let fleet = faulty_fleet(seed).await;
+
+    for length in 0..160 {
+        for framing in ["length", "chunks", "close"] {
+            let id = format!("book-{fault}-{length}-{framing}");
+            let (status, text) = fleet.request(1, "book", &id, 0).await;
+            assert_eq!(status, StatusCode::BAD_GATEWAY, "{id}: {text}");
+        }
+    }
+    let (status, text) = fleet.request(1, "book", "book-whole-0", 0).await;
+
+    assert_eq!(status, StatusCode::OK, "{text}");
+    fleet.check();
+}
+
 /// Guards against a process that runs out of memory, or a slot that stays in use,
 /// while targets send bytes without end in a head or a body.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/responses.rs
+++ b/tests/responses.rs
@@ -277,6 +277,32 @@
     fixture.check();
 }
 
+/// Guards against a success with an empty or short body that looks whole: the target
+/// stops after any number of bytes of its response's head, and closes or resets the
+/// connection.
+#[rstest]
+#[case::closed("stop")]
+#[case::reset("halt")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_stops_in_its_head_is_no_success(#[case] fault: &str) {
+    let fixture = Fixture::start(true).await;
+
+    for length in (0..160).step_by(3) {
+        for framing in ["length", "chunks", "close"] {
+            let via = if length % 2 == 0 { OWNER } else { OTHER };
+            let fault = format!("{fault}-{length}-{framing}");
+            let call = fixture.call(via, Kind::Booking, &fault).await;
+            assert!(!call.served(), "{fault}: {call:?}");
+            assert_ne!(call.outcome(), "not-run", "{fault}: {call:?}");
+            // A target that only fails is taken out of service.
+            let whole = fixture.call(via, Kind::Booking, "whole-0").await;
+            assert!(whole.served(), "after {fault}: {whole:?}");
+        }
+    }
+
+    fixture.check();
+}
+
 /// Guards against the same where a response has neither a length nor chunks: the end
 /// of the connection is also what is seen of a target whose process ended halfway.
 #[rstest]
--- a/tests/support/faulty.rs
+++ b/tests/support/faulty.rs
@@ -93,6 +93,9 @@
         } else {
             record_run(observations, &request.id)
         };
+        if request.fault == "during" {
+            sleep(Duration::from_millis(request.millis)).await;
+        }
         if let Some((answer, id)) = copy.take()
             && id.is_none_or(|id| id == request.id)
         {
@@ -123,7 +126,7 @@
                 stream.write_all(&answer).await?;
                 copy = Some((answer, None));
             }
-            "work" | "twice" => {
+            "work" | "twice" | "during" => {
                 sleep(Duration::from_millis(request.millis)).await;
                 stream.write_all(&answer).await?;
             }
@@ -140,6 +143,17 @@
                 sleep(Duration::from_millis(request.millis)).await;
                 return stream.set_zero_linger();
             }
+            // Stops in the head of its answer, after so many bytes.
+            "stop" | "halt" => {
+                let length = usize::try_from(request.millis).unwrap_or(usize::MAX);
+                let length = length.min(head_end - 1);
+                stream.write_all(&answer[..length]).await?;
+                if request.fault == "halt" {
+                    sleep(Duration::from_millis(20)).await;
+                    return stream.set_zero_linger();
+                }
+                return Ok(());
+            }
             "chunk" => {
                 let head = head_of(&request, "transfer-encoding: chunked\r\n");
                 stream.write_all(head.as_bytes()).await?;
