Give up the lock on the data folder before it is opened again

Cause: after a failed write the data folder was opened again while the former worker of the same process still had it locked, so each attempt failed.

Change: the former worker is dropped first. Calls that come while the folder cannot be used are refused at once instead of waiting in the queue, and the loop ends with the process.

--- a/wisteriaglade-fleet/src/control/replica.rs
+++ b/wisteriaglade-fleet/src/control/replica.rs
@@ -30,6 +30,9 @@
 use super::{seed_id, status::Status};
 use crate::{Settings, frame::Frame, read, write};
 
+#[cfg(test)]
+mod tests;
+
 /// The longest time without a step of the consensus; the resolution of its
 /// timers.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -251,27 +254,59 @@
         is_new,
         first_group = setup.members.len()
     );
-    let mut worker = open(&setup, &handle, clock)?;
-    let worker_handle = handle.clone();
+    let worker = open(&setup, &handle, clock)?;
     thread::Builder::new()
         .name("replica".to_owned())
-        .spawn(move || {
-            while worker.run(&inputs) == Exit::Failed {
-                worker = reopen(&setup, &worker_handle, clock);
-            }
-        })?;
+        .spawn(move || run(worker, &setup, &inputs))?;
     Ok((handle, id))
 }
 
+/// Runs a worker, and another one after each failed write, until the process ends.
+fn run(mut worker: Worker, setup: &Setup, inputs: &mpsc::Receiver<Input>) {
+    while worker.run(inputs) == Exit::Failed {
+        let (handle, clock) = (worker.handle.clone(), worker.clock);
+        // Ends its lock on the data folder, which is opened again.
+        drop(worker);
+        let Some(next) = reopen(setup, &handle, clock, inputs) else {
+            return;
+        };
+        worker = next;
+    }
+}
+
 /// Opens the data folder after a failed write, and tries again until that
-/// succeeds.
-fn reopen(setup: &Setup, handle: &Handle, clock: Clock) -> Worker {
+/// succeeds. Returns `None` if the process ends meanwhile.
+fn reopen(
+    setup: &Setup,
+    handle: &Handle,
+    clock: Clock,
+    inputs: &mpsc::Receiver<Input>,
+) -> Option<Worker> {
     loop {
         thread::sleep(REOPEN_DELAY);
+        if handle.stop.load(Ordering::Relaxed) {
+            return None;
+        }
         match open(setup, handle, clock) {
-            Ok(worker) => return worker,
+            Ok(worker) => return Some(worker),
             Err(error) => error!(event = "storage-unusable", error = %error),
         }
+        refuse_all(inputs);
+    }
+}
+
+/// Refuses the calls that came while the data folder could not be used, and drops
+/// the messages.
+fn refuse_all(inputs: &mpsc::Receiver<Input>) {
+    for input in inputs.try_iter() {
+        match input {
+            Input::Propose { reply, .. } | Input::Members { reply, .. } => {
+                // The caller may no longer wait.
+                let _ = reply.send(Proposed::NotLeader);
+            }
+            Input::Confirm { reply } => answer_all(vec![reply], false),
+            Input::Message { .. } | Input::ConfirmRequest { .. } | Input::Confirmed { .. } => {}
+        }
     }
 }
 
--- /dev/null
+++ b/wisteriaglade-fleet/src/control/replica/tests.rs
@@ -0,0 +1,96 @@
+//! Tests of a replica whose disk fails for some time.
+
+use std::{
+    path::PathBuf,
+    sync::{Arc, atomic::Ordering, mpsc},
+    thread,
+    time::{Duration, Instant},
+};
+
+use wisteriaglade_wire::Clock;
+
+use super::{Handle, Setup, open, run};
+
+/// The bound for a replica to lead its group of one, which needs no votes: several
+/// times the delay before the storage is opened again.
+const LEAD_BOUND: Duration = Duration::from_secs(5);
+
+/// The data folder of a replica, and the folder in it that makes a write fail.
+struct Disk {
+    folder: tempfile::TempDir,
+    obstacle: PathBuf,
+}
+
+impl Disk {
+    fn new() -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let obstacle = folder.path().join("vote.tmp");
+        Self { folder, obstacle }
+    }
+
+    /// What the only replica of a group needs to use this disk.
+    fn setup(&self) -> Setup {
+        Setup {
+            id: 1,
+            folder: self.folder.path().to_owned(),
+            members: vec![1],
+        }
+    }
+
+    /// Makes the next write of a vote fail, and each attempt to open the data folder.
+    fn fail(&self) {
+        std::fs::create_dir(&self.obstacle).unwrap();
+    }
+
+    fn recover(&self) {
+        std::fs::remove_dir(&self.obstacle).unwrap();
+    }
+}
+
+/// Creates access to a replica that does not run yet, and its inputs.
+fn handle() -> (Handle, mpsc::Receiver<super::Input>) {
+    let (inbox, inputs) = mpsc::channel();
+    let handle = Handle {
+        inbox,
+        status: Arc::default(),
+        status_changed: Arc::default(),
+        outbox: Arc::default(),
+        stop: Arc::default(),
+    };
+    (handle, inputs)
+}
+
+/// Waits until the replica leads. Returns `false` if it does not in time.
+fn waits_until_leading(handle: &Handle) -> bool {
+    let end = Instant::now() + LEAD_BOUND;
+    while Instant::now() < end {
+        if handle.status().is_leading() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+// Guards against a replica that never takes part again after its disk failed for some
+// time: it must give up its own lock on the data folder before it opens it again. A
+// call that comes meanwhile is answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_returns_after_its_disk_has_failed() {
+    let disk = Disk::new();
+    let (handle, inputs) = handle();
+    let setup = disk.setup();
+    let worker = open(&setup, &handle, Clock::new()).unwrap();
+    disk.fail();
+    let thread = thread::spawn(move || run(worker, &setup, &inputs));
+
+    let confirmed = handle.confirm().await;
+    let led_before = handle.status().is_leading();
+    disk.recover();
+    let leads = waits_until_leading(&handle);
+    handle.stop.store(true, Ordering::Relaxed);
+    thread.join().unwrap();
+
+    assert!(!confirmed && !led_before);
+    assert!(leads, "the replica does not take part again");
+}
