--- a/wisteriaglade-consensus/src/config.rs
+++ b/wisteriaglade-consensus/src/config.rs
@@ -28,6 +28,8 @@
 /// The default number of entries before the snapshot that stay in memory, so
 /// that slow readers and followers do not need the snapshot.
 const RETAINED_ENTRIES: usize = 10_000;
+/// The default limit for the encoded size of those entries in bytes.
+const RETAINED_BYTES: usize = 64 * 1024 * 1024;
 
 /// The settings of a [`Raft`](crate::Raft) replica.
 ///
@@ -55,6 +57,7 @@
     pub(crate) max_inflight_messages: usize,
     pub(crate) max_uncommitted_entries: usize,
     pub(crate) retained_entries: usize,
+    pub(crate) retained_bytes: usize,
     pub(crate) fixed_ids: bool,
 }
 
@@ -79,6 +82,7 @@
             max_inflight_messages: MAX_INFLIGHT_MESSAGES,
             max_uncommitted_entries: MAX_UNCOMMITTED_ENTRIES,
             retained_entries: RETAINED_ENTRIES,
+            retained_bytes: RETAINED_BYTES,
             fixed_ids: false,
         }
     }
@@ -155,6 +159,15 @@
         self
     }
 
+    /// Sets the size of the entries before a snapshot that stay in memory, in bytes,
+    /// 64 MiB by default. Fewer entries than [`Config::retained_entries`] stay if
+    /// they are larger.
+    #[must_use]
+    pub fn retained_bytes(mut self, bytes: usize) -> Self {
+        self.retained_bytes = bytes;
+        self
+    }
+
     /// Sets whether a replica has the same id again after the loss of its disk,
     /// false by default.
     ///
--- a/wisteriaglade-consensus/src/log.rs
+++ b/wisteriaglade-consensus/src/log.rs
@@ -98,6 +98,21 @@
         self.groups.truncate(groups.max(1));
     }
 
+    /// Returns the base with which at most `entries` entries up to `index` stay in
+    /// memory, with at most `bytes` bytes.
+    pub(crate) fn base_to_retain(&self, index: Index, entries: usize, bytes: usize) -> Index {
+        let end = self.position(index.next()).unwrap_or(0);
+        let mut left = bytes;
+        let before = self.entries[..end.min(self.entries.len())].iter().rev();
+        let fits = before.take(entries).take_while(|entry| {
+            let size = entry.payload.size();
+            let fits = size <= left;
+            left = left.saturating_sub(size);
+            fits
+        });
+        Index::new(index.get().saturating_sub(fits.count() as u64))
+    }
+
     /// Removes the entries up to and including an index.
     pub(crate) fn compact(&mut self, to: Index) {
         let Some(term) = self.term(to) else { return };
--- a/wisteriaglade-consensus/src/raft.rs
+++ b/wisteriaglade-consensus/src/raft.rs
@@ -352,7 +352,7 @@
     }
 
     /// Accepts a snapshot of the driver's state machine and removes the entries
-    /// before it from memory, except for the configured number.
+    /// before it from memory, except for the configured number and size.
     fn compact(&mut self, index: Index, data: std::sync::Arc<[u8]>, outputs: &mut Vec<Output>) {
         let current = self.snapshot.as_ref().map_or(Index::new(0), |s| s.index);
         if index <= current || index > self.commit_index {
@@ -369,10 +369,9 @@
         };
         outputs.push(Output::Persist(Change::Compact(snapshot.clone())));
         self.snapshot = Some(snapshot);
-        let keep = index
-            .get()
-            .saturating_sub(self.config.retained_entries as u64);
-        self.log.compact(Index::new(keep));
+        let (entries, bytes) = (self.config.retained_entries, self.config.retained_bytes);
+        let base = self.log.base_to_retain(index, entries, bytes);
+        self.log.compact(base);
     }
 
     /// Sets the term and the vote, and outputs the change for storage.
--- a/wisteriaglade-consensus/tests/replica.rs
+++ b/wisteriaglade-consensus/tests/replica.rs
@@ -332,6 +332,39 @@
     assert_eq!(raft.snapshot().map(|s| s.index), Some(index));
 }
 
+/// Guards against memory that grows with the size of the entries: after a snapshot,
+/// entries stay up to a number and up to a size.
+#[rstest]
+#[case::by_number(10, 1_000_000, 10)]
+#[case::by_size(1_000, 540, 5)]
+#[case::one_larger_than_the_size(1_000, 50, 0)]
+fn entries_before_a_snapshot_are_bounded(
+    #[case] entries: usize,
+    #[case] bytes: usize,
+    #[case] expected: usize,
+) {
+    let config = Config::new(OWN, [OWN])
+        .retained_entries(entries)
+        .retained_bytes(bytes);
+    let mut raft = Raft::new(config, Restored::default(), Duration::ZERO);
+    step(&mut raft, SECOND, Input::Tick);
+    for ticket in 0..98 {
+        let data = vec![0; 100].into();
+        step(&mut raft, SECOND, Input::Propose { ticket, data });
+    }
+
+    let data = vec![5; 5].into();
+    let index = Index::new(60);
+    step(&mut raft, SECOND, Input::Compact { index, data });
+
+    let first = Index::new(61 - expected as u64);
+    assert_eq!(
+        raft.entries(first, 100).map(<[_]>::len),
+        Some(40 + expected)
+    );
+    assert_eq!(raft.entries(Index::new(first.get() - 1), 1), None);
+}
+
 /// Guards against a start that does not output the stored snapshot, so that
 /// entries would be applied to an empty state machine.
 #[test]
--- a/wisteriaglade-fleet/src/control/replica.rs
+++ b/wisteriaglade-fleet/src/control/replica.rs
@@ -49,10 +49,19 @@
 /// The number of applied entries after which a snapshot is taken.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 512;
 
+/// The size in bytes of applied entries after which a snapshot is taken. Plans with
+/// thousands of rules reach it long before the number of entries. Entries of this
+/// size and a snapshot fit several times into the smallest disk and memory, 256 MB.
+const SNAPSHOT_INTERVAL_BYTES: usize = 16 * 1024 * 1024;
+
 /// The number of entries before a snapshot that stay in memory for replicas that
 /// are behind.
 const RETAINED_ENTRIES: usize = 64;
 
+/// The size in bytes of these entries. It has room for several plans of the largest
+/// size, so that a replica that misses a few needs no snapshot.
+const RETAINED_BYTES: usize = 16 * 1024 * 1024;
+
 /// The size in bytes of the largest entry, which holds a plan with thousands of
 /// rules and its text.
 const MAX_ENTRY_BYTES: usize = 4 * 1024 * 1024;
@@ -199,6 +208,8 @@
     replies: BTreeMap<Index, Reply>,
     /// The index of the last snapshot.
     snapshot_index: u64,
+    /// The size in bytes of the entries that were applied since.
+    applied_bytes: usize,
     /// The index of the last entry that was read from disk at the start.
     restored_index: u64,
     /// Set from an election until this entry is applied. Before that, the state of
@@ -332,6 +343,7 @@
         .election_timeout(ELECTION_TIMEOUT)
         .max_command_bytes(MAX_ENTRY_BYTES)
         .retained_entries(RETAINED_ENTRIES)
+        .retained_bytes(RETAINED_BYTES)
         .seed(setup.id ^ crate::host::session());
     let raft = Raft::new(config, restored, clock.now());
     *write(&handle.status) = Status {
@@ -350,6 +362,7 @@
         waiting: HashMap::new(),
         replies: BTreeMap::new(),
         snapshot_index: applied,
+        applied_bytes: 0,
         restored_index: last,
         lead_from: None,
         confirmation: Confirmation::default(),
@@ -621,6 +634,7 @@
     fn apply(&mut self, entries: &[Entry]) -> Vec<Output> {
         let mut status = write(&self.handle.status);
         for entry in entries {
+            self.applied_bytes += entry.payload.size();
             if let Payload::Data(data) = &entry.payload {
                 match postcard::from_bytes::<Command>(data) {
                     Ok(command) => {
@@ -635,7 +649,8 @@
             status.applied = entry.index.get();
         }
         let applied = status.applied;
-        let due = applied.saturating_sub(self.snapshot_index) >= SNAPSHOT_INTERVAL_ENTRIES;
+        let due = applied.saturating_sub(self.snapshot_index) >= SNAPSHOT_INTERVAL_ENTRIES
+            || self.applied_bytes >= SNAPSHOT_INTERVAL_BYTES;
         let data = due.then(|| status.state.encode());
         drop(status);
         if self.lead_from.is_some_and(|from| applied >= from.get()) {
@@ -645,6 +660,7 @@
         match data {
             Some(Ok(data)) => {
                 self.snapshot_index = applied;
+                self.applied_bytes = 0;
                 let step = Step::Compact {
                     index: Index::new(applied),
                     data: data.into(),
@@ -666,6 +682,7 @@
                 status.state = state;
                 status.applied = snapshot.index.get();
                 self.snapshot_index = snapshot.index.get();
+                self.applied_bytes = 0;
             }
             Err(error) => error!(event = "snapshot-undecodable", error = %error),
         }
--- a/wisteriaglade-fleet/src/control/replica/tests.rs
+++ b/wisteriaglade-fleet/src/control/replica/tests.rs
@@ -1,15 +1,17 @@
 //! Tests of a replica whose disk fails for some time.
 
 use std::{
-    path::PathBuf,
+    path::{Path, PathBuf},
     sync::{Arc, atomic::Ordering, mpsc},
     thread,
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
+use wisteriaglade_mesh::{Command, Plan, Reply};
 use wisteriaglade_wire::Clock;
 
-use super::{Handle, Setup, open, run};
+use super::{Handle, Proposed, Setup, open, run};
 
 /// The bound for a replica to lead its group of one, which needs no votes: several
 /// times the delay before the storage is opened again.
@@ -94,3 +96,58 @@
     assert!(!confirmed && !led_before);
     assert!(leads, "the replica does not take part again");
 }
+
+/// The size of the text of a large plan in bytes.
+const PLAN_BYTES: usize = 1024 * 1024;
+
+/// The number of large plans; together they are larger than the disk and the memory of
+/// a control host, 256 MB.
+const PLANS: u64 = 300;
+
+/// A fifth of that disk.
+const FOLDER_LIMIT: u64 = 50 * 1024 * 1024;
+
+/// The size of all files in a folder in bytes.
+fn folder_size(folder: &Path) -> u64 {
+    let files = std::fs::read_dir(folder).unwrap();
+    files
+        .map(|file| file.unwrap().metadata().unwrap().len())
+        .sum()
+}
+
+// Guards against a log that outgrows the disk and the memory of a control host, and is
+// read back whole after each restart: large plans in quick succession, fewer than the
+// number of entries after which a snapshot is taken.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_plans_leave_a_small_log() {
+    let disk = Disk::new();
+    let (access, inputs) = handle();
+    let setup = disk.setup();
+    let worker = open(&setup, &access, Clock::new()).unwrap();
+    let thread = thread::spawn(move || run(worker, &setup, &inputs));
+    assert!(waits_until_leading(&access));
+    let mut largest = 0;
+
+    for version in 1..=PLANS {
+        let command = Command::Configure {
+            base: version - 1,
+            plan: Plan {
+                version,
+                ..Plan::default()
+            },
+            text: Bytes::from(vec![b' '; PLAN_BYTES]),
+        };
+        let result = access.propose(command).await;
+        assert_eq!(result, Proposed::Applied(Reply::Done));
+        largest = largest.max(folder_size(disk.folder.path()));
+    }
+    access.stop.store(true, Ordering::Relaxed);
+    thread.join().unwrap();
+    let (next, _inputs) = handle();
+    let worker = open(&disk.setup(), &next, Clock::new()).unwrap();
+
+    assert!(largest < FOLDER_LIMIT, "{largest} bytes on disk");
+    let read_back = PLANS.saturating_sub(next.status().applied());
+    assert!(read_back < 20, "{read_back} entries are read back");
+    drop(worker);
+}
