Keep the answer to a heartbeat within the size that targets accept

Cause: the answer listed all ranges of the target, with the handover text of each that it does not hold: 4.4 KB for 128 ranges. A target accepts 4 KiB at most, so it took no range, and the next answer was the same.

Change: the ranges of an answer take at most 3.5 KiB: those that the target holds come first, then the others, then their texts. Ranges that are left out are logged.

--- a/wisteriaglade-fleet/src/host/heartbeats.rs
+++ b/wisteriaglade-fleet/src/host/heartbeats.rs
@@ -94,6 +94,11 @@
             drop(view);
             host.report_now.notify_one();
         }
+        if let Some(grant) = &grant
+            && grant.omitted > 0
+        {
+            warn!(event = "grant-cut", target = %target, ranges = grant.ranges.len(), omitted = grant.omitted);
+        }
         server::json(StatusCode::OK, D::encode_grant(grant.as_ref()))
     }
 
--- a/wisteriaglade-mesh/src/grantor.rs
+++ b/wisteriaglade-mesh/src/grantor.rs
@@ -14,6 +14,10 @@
 /// target's next heartbeat renews it.
 const MIN_HOLD: Duration = Duration::from_millis(300);
 
+/// The most bytes that the ranges of an answer take, encoded as lists of text. A target
+/// does not accept an answer of more than 4 KiB; the rest is for its other parts.
+const MAX_RANGES_BYTES: usize = 3_584;
+
 /// The answer to a heartbeat: the key ranges that the target may hold, and for
 /// how long.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,6 +29,9 @@
     /// How long the target may hold the keys, counted from when it sent its
     /// heartbeat.
     pub hold: Duration,
+    /// The number of ranges that are assigned to the target and left out, as the
+    /// answer has no room for them.
+    pub omitted: usize,
 }
 
 /// Decides, for each heartbeat of a target, which key ranges it may hold.
@@ -82,31 +89,27 @@
         if hold < MIN_HOLD {
             return None;
         }
-        let ranges: Vec<(Span, u64, Name)> = self
+        let assigned: Vec<(Span, u64, Name)> = self
             .allotment
             .grantable()
             .iter()
             .filter(|(span, fence, _)| !self.allotment.is_released(*span, *fence))
-            .map(|(span, fence, handover)| {
-                // A target that holds the range has received the text already.
-                let is_held = holds
-                    .iter()
-                    .any(|(held, token)| token == fence && held.overlap(*span) == Some(*span));
-                let handover = if is_held {
-                    Name::from("")
-                } else {
-                    handover.clone()
-                };
-                (*span, *fence, handover)
-            })
+            .cloned()
             .collect();
+        let count = assigned.len();
+        let ranges = fit_ranges(assigned, holds);
+        let omitted = count - ranges.len();
         // When the target reads the answer, it holds the listed ranges and
         // drops all others.
         self.held = ranges
             .iter()
             .map(|(span, fence, _)| (*span, *fence))
             .collect();
-        Some(Grant { ranges, hold })
+        Some(Grant {
+            ranges,
+            hold,
+            omitted,
+        })
     }
 
     /// Records ranges that have to move as released once their hold has expired.
@@ -128,3 +131,48 @@
         }
     }
 }
+
+/// Returns as many of the assigned ranges as an answer has room for: those that the
+/// target holds, then the others, then the handover texts of the others. A target that
+/// holds a range has received its text already.
+fn fit_ranges(assigned: Vec<(Span, u64, Name)>, holds: &[(Span, u64)]) -> Vec<(Span, u64, Name)> {
+    let is_held = |span: Span, fence: u64| {
+        let mut holds = holds.iter();
+        holds.any(|(held, token)| *token == fence && held.overlap(span) == Some(span))
+    };
+    let (held, other): (Vec<_>, Vec<_>) = assigned
+        .into_iter()
+        .partition(|(span, fence, _)| is_held(*span, *fence));
+    let mut left = MAX_RANGES_BYTES;
+    let mut take = |size: usize| {
+        let fits = size <= left;
+        left -= if fits { size } else { 0 };
+        fits
+    };
+    let mut ranges: Vec<(Span, u64, Name)> = Vec::with_capacity(held.len() + other.len());
+    for (span, fence, _) in held.iter().chain(&other) {
+        if take(encoded_size(*span, *fence)) {
+            ranges.push((*span, *fence, Name::from("")));
+        }
+    }
+    for (span, fence, handover) in other {
+        let range = ranges
+            .iter_mut()
+            .find(|(known, token, _)| *known == span && *token == fence);
+        if let Some(range) = range
+            && take(handover.as_str().len())
+        {
+            range.2 = handover.clone();
+        }
+    }
+    ranges.sort_unstable();
+    ranges
+}
+
+/// Returns the size in bytes of a range as a list of its keys, its token and a text
+/// without characters, with a comma behind it.
+fn encoded_size(span: Span, fence: u64) -> usize {
+    const PUNCTUATION: usize = r#"[,,,""],"#.len();
+    let digits = |number: u64| number.checked_ilog10().map_or(1, |log| log as usize + 1);
+    digits(span.from.into()) + digits(span.to.into()) + digits(fence) + PUNCTUATION
+}
--- a/wisteriaglade-mesh/tests/grantor.rs
+++ b/wisteriaglade-mesh/tests/grantor.rs
@@ -200,3 +200,95 @@
 
     assert_eq!(grantor.allotment.released(), []);
 }
+
+/// The most bytes that a target accepts in the answer to a heartbeat.
+const MAX_ANSWER_BYTES: usize = 4_096;
+
+/// Returns a state with `count` ranges, each granted to another target, released by it
+/// with a text, and granted to `owner` by an entry of its own.
+fn handed_over(owner: &Owner, count: u16) -> State {
+    let mut state = State::default();
+    let former = Owner {
+        target: "i-former".into(),
+        ..owner.clone()
+    };
+    let size = u16::MAX / count;
+    for number in 0..count {
+        let span = Span::new(number * size, number * size + size - 1);
+        let index = 10_000 + 3 * u64::from(number);
+        let grant = |to: &Owner| Command::Grant {
+            pool: pool(),
+            grants: vec![(span, to.clone())],
+        };
+        state.apply(index, grant(&former));
+        let handover = format!("{number:016x}").as_str().into();
+        let command = Command::Release {
+            pool: pool(),
+            owner: former.clone(),
+            released: vec![(span, index, handover)],
+        };
+        state.apply(index + 1, command);
+        state.apply(index + 2, grant(owner));
+    }
+    state
+}
+
+/// The size of the ranges of an answer as text.
+fn size(ranges: &[(Span, u64, Name)]) -> usize {
+    let rows = ranges
+        .iter()
+        .map(|(span, fence, text)| format!("[{},{},{fence},\"{text}\"],", span.from, span.to));
+    rows.map(|row| row.len()).sum()
+}
+
+/// Guards against a pool that serves nothing any more after it was scaled in: the
+/// answers to the heartbeats of a target with many ranges list the handover text of
+/// each, and are larger than a target accepts. All ranges are granted, with as many
+/// texts as there is room for.
+#[test]
+fn many_ranges_are_granted_without_all_handover_texts() {
+    let owner = owner("i-1", 1);
+    let state = handed_over(&owner, 128);
+    let mut grantor = grantor(&owner, state.keyspaces());
+    grantor.allotment.update(20_000, state.keyspaces());
+
+    let grant = grantor
+        .heartbeat(at(1_100), &owner, &[], &[], LIMIT)
+        .expect("a lease");
+
+    assert_eq!((grant.ranges.len(), grant.omitted), (128, 0));
+    assert!(size(&grant.ranges) < MAX_ANSWER_BYTES);
+    let texts = grant
+        .ranges
+        .iter()
+        .filter(|(.., text)| !text.as_str().is_empty());
+    assert!((20..128).contains(&texts.count()));
+}
+
+/// Guards against a target that loses ranges which it holds, or gets no range at all,
+/// when more are assigned to it than an answer has room for.
+#[test]
+fn more_ranges_than_an_answer_holds_leave_those_that_are_held() {
+    let owner = owner("i-1", 1);
+    let state = handed_over(&owner, 400);
+    let mut grantor = grantor(&owner, state.keyspaces());
+    grantor.allotment.update(20_000, state.keyspaces());
+    let ranges = state.keyspaces()[&pool()].ranges();
+    let holds: Vec<(Span, u64)> = ranges
+        .iter()
+        .rev()
+        .skip(1)
+        .take(50)
+        .map(|range| (range.span, range.fence))
+        .collect();
+
+    let grant = grantor
+        .heartbeat(at(1_100), &owner, &holds, &[], LIMIT)
+        .expect("a lease");
+
+    assert!(size(&grant.ranges) < MAX_ANSWER_BYTES);
+    assert!(grant.ranges.len() > 100 && grant.omitted == 400 - grant.ranges.len());
+    for (span, fence) in holds {
+        assert!(grant.ranges.contains(&(span, fence, Name::from(""))));
+    }
+}
