Close connections of callers that are idle for the time in the plan

Cause: the idle timeout of the plan was read and never applied.

Change: the listener for callers closes a connection that has had no request for that time, in the way a stop does.

--- a/wisteriaglade-fleet/src/host/ingress.rs
+++ b/wisteriaglade-fleet/src/host/ingress.rs
@@ -220,6 +220,13 @@
 }
 
 impl<D: Dialect> Service for Ingress<D> {
+    /// The time in the plan; without a plan there is none.
+    fn idle_timeout(&self) -> Option<Duration> {
+        let view = read(&self.host.view);
+        let timeout = view.plan.as_ref().map(|plan| plan.limits.idle_timeout);
+        timeout.filter(|timeout| !timeout.is_zero())
+    }
+
     async fn answer(&self, _: SocketAddr, request: Request<Incoming>) -> Response<Full<Bytes>> {
         if self.host.is_closed() {
             let id = request.headers().get(D::REQUEST_ID);
--- a/wisteriaglade-fleet/src/server.rs
+++ b/wisteriaglade-fleet/src/server.rs
@@ -1,24 +1,39 @@
 //! HTTP/1.1 servers, and helpers for request and response bodies.
 
-use std::{convert::Infallible, net::SocketAddr, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header::CONNECTION};
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpStream, task::JoinHandle, time::sleep};
+use tokio::{
+    net::TcpStream,
+    task::JoinHandle,
+    time::{Instant, sleep, sleep_until},
+};
 use tokio_util::sync::CancellationToken;
 use tracing::debug;
 use wisteriaglade_wire::Lingering;
 
-use crate::listener::accept;
+use crate::{listener::accept, lock};
+
+#[cfg(test)]
+mod tests;
 
 /// How long a connection without a request stays open after the end of the
 /// listener. A request that was sent before its caller learned of the end arrives
 /// within this time: the round trip to the farthest callers is 16 ms.
 const LAST_REQUEST_WAIT: Duration = Duration::from_millis(100);
 
+/// How often a connection without an idle timeout looks whether it has one now.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Handles the requests of one listener.
 pub(crate) trait Service: Clone + Send + Sync + 'static {
     /// Handles a request that arrived on a connection from `peer`.
@@ -27,6 +42,36 @@
         peer: SocketAddr,
         request: Request<Incoming>,
     ) -> impl Future<Output = Response<Full<Bytes>>> + Send;
+
+    /// How long a connection may be without a request; `None` if it may be so for
+    /// any time.
+    fn idle_timeout(&self) -> Option<Duration> {
+        None
+    }
+}
+
+/// Whether a connection has a request, and since when it has none.
+#[derive(Debug)]
+enum Activity {
+    Busy,
+    IdleSince(Instant),
+}
+
+/// Waits until a connection has been idle for the timeout of its service.
+async fn wait_until_idle<S: Service>(service: &S, activity: &Mutex<Activity>) {
+    loop {
+        let now = Instant::now();
+        let since = match *lock(activity) {
+            Activity::Busy => now,
+            Activity::IdleSince(since) => since,
+        };
+        let end = match service.idle_timeout() {
+            Some(timeout) if since + timeout <= now => return,
+            Some(timeout) => since + timeout,
+            None => now + IDLE_CHECK_INTERVAL,
+        };
+        sleep_until(end).await;
+    }
 }
 
 /// Serves HTTP on an address until the token is cancelled. Connections then
@@ -57,10 +102,15 @@
         debug!(event = "nodelay-refused", error = %error);
     }
     let closing = stop.clone();
+    let activity = Arc::new(Mutex::new(Activity::IdleSince(Instant::now())));
+    let (current, answering) = (Arc::clone(&activity), service.clone());
     let handler = service_fn(move |request| {
-        let (service, closing) = (service.clone(), closing.clone());
+        let (service, closing) = (answering.clone(), closing.clone());
+        let activity = Arc::clone(&current);
         async move {
+            *lock(&activity) = Activity::Busy;
             let mut response = service.answer(peer, request).await;
+            *lock(&activity) = Activity::IdleSince(Instant::now());
             if closing.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
@@ -84,6 +134,11 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        // A response that is still being written is finished.
+        () = wait_until_idle(&service, &activity) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
     };
     if let Err(error) = ended {
         debug!(event = "caller-gone", peer = %peer, error = %error);
