Refuse requests that wait for a target that has drained

Cause: only new offers were refused after 0.4 of the drain time; the queue kept what it had admitted before.

Change: from then on the waiting requests are refused as not run as well, so that the hosts where they began offer them to other targets.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,12 +6,18 @@
 
 use http::StatusCode;
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
-use support::platform::{Fleet, LinkFault, Servers};
-use tokio::time::sleep;
+use support::{
+    client::Client,
+    platform::{Fleet, LinkFault, Servers, send_request_within},
+};
+use tokio::{task::JoinSet, time::sleep};
 
 /// The time in which the platform requires service to recover after a fault.
 const RECOVERY_BOUND: Duration = Duration::from_secs(15);
 
+/// The time in which a server that leaves may be sent requests.
+const DRAIN: Duration = Duration::from_secs(2);
+
 /// The bound for a new fleet to form its groups, assign the keys and serve.
 const START_BOUND: Duration = Duration::from_secs(15);
 
@@ -100,6 +106,53 @@
     fleet.check();
 }
 
+/// A work time longer than the time in which a draining server may be sent requests.
+const LONG_WORK: Duration = Duration::from_secs(3);
+
+/// Guards against requests that reach a server too late, and are cut off when it ends:
+/// they wait for a slot at its host when it says that it is leaving. Another server can
+/// take them.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_wait_for_a_leaving_server_go_to_another_one() {
+    let mut fleet = Fleet::start(12, 1, 1, 2).await;
+    fleet.configure_with_timeout(20.0).await;
+    wait_until_ready(&fleet).await;
+    for host in 2..=3 {
+        fleet.set_work_time(host, LONG_WORK);
+    }
+
+    // Each server has six slots, so that as many requests wait at each host.
+    let mut requests = JoinSet::new();
+    for number in 0..24 {
+        let (client, address) = (Client::new(), fleet.hosts[2 + number % 2].callers());
+        requests.spawn(async move {
+            let id = format!("book-wait-{number}");
+            send_request_within(&client, address, "book", &id, 0, 20_000).await
+        });
+    }
+    let leave = async {
+        sleep(Duration::from_millis(600)).await;
+        let path = format!("/rpc?call=instances.leave&of={}", fleet.server_id(2));
+        let address = fleet.hosts[2].control();
+        let answer = fleet.client.send(address, "POST", &path, &[], "").await;
+        assert!(answer.expect("an answer").status.is_success());
+        Instant::now()
+    };
+    let (answers, left) = tokio::join!(requests.join_all(), leave);
+
+    let drained = left + DRAIN;
+    let late = fleet.arrivals(2).into_iter().filter(|a| a.at > drained);
+    assert_eq!(late.count(), 0, "requests after the drain time");
+    let answered = answers
+        .iter()
+        .filter(|(status, _)| *status == StatusCode::OK);
+    let refused = answers
+        .iter()
+        .filter(|(status, _)| *status == StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answered.count() + refused.count(), 24, "{answers:?}");
+    fleet.check();
+}
+
 /// Guards against a control group that has no leader again: its three processes are
 /// killed at the same moment, before the first snapshot, and start again with their
 /// disks and without `bootstrap`.
--- a/tests/support/faults.rs
+++ b/tests/support/faults.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt as _, SeedableRng, rngs::StdRng};
 use tokio::task::JoinHandle;
 
-use super::platform::{Fleet, LinkFault, put_plan};
+use super::platform::{Fleet, LinkFault, RULE_TIMEOUT_S, put_plan};
 
 /// The number of control replicas; two of them may be lost at once.
 pub const CONTROLS: usize = 5;
@@ -159,7 +159,7 @@
         let base = self.fleet.version;
         let client = self.fleet.client.clone();
         self.change = Some(tokio::spawn(async move {
-            put_plan(&client, &controls, base).await
+            put_plan(&client, &controls, base, RULE_TIMEOUT_S).await
         }));
     }
 
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -34,6 +34,12 @@
 /// The timeout of an operator's call.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The timeout of the rules of a plan in seconds, unless a test asks for another one.
+pub(super) const RULE_TIMEOUT_S: f64 = 3.0;
+
+/// The deadline of a request in milliseconds, unless a test asks for another one.
+const DEADLINE_MS: u32 = 2_000;
+
 const PUT_PLAN: &str = "/rpc?call=config.put";
 const GET_PLAN: &str = "/rpc?call=config.get";
 
@@ -345,8 +351,14 @@
     /// Sends a new plan until a control replica accepts it, and returns its
     /// version.
     pub async fn configure(&mut self) -> u64 {
+        self.configure_with_timeout(RULE_TIMEOUT_S).await
+    }
+
+    /// Sends a new plan whose rules have the given timeout in seconds; see
+    /// [`Fleet::configure`].
+    pub async fn configure_with_timeout(&mut self, timeout_s: f64) -> u64 {
         let controls: Vec<_> = self.controls().collect();
-        self.version = put_plan(&self.client, &controls, self.version).await;
+        self.version = put_plan(&self.client, &controls, self.version, timeout_s).await;
         self.version
     }
 
@@ -475,14 +487,26 @@
     kind: &str,
     id: &str,
     key: u16,
+) -> (StatusCode, String) {
+    send_request_within(client, address, kind, id, key, DEADLINE_MS).await
+}
+
+/// Sends one request with a deadline in milliseconds; see [`send_request`].
+pub async fn send_request_within(
+    client: &Client,
+    address: SocketAddr,
+    kind: &str,
+    id: &str,
+    key: u16,
+    deadline_ms: u32,
 ) -> (StatusCode, String) {
     let method = if kind == "read" { "GET" } else { "POST" };
     let path = format!("/{kind}/{id}");
-    let key = key.to_string();
+    let (key, deadline) = (key.to_string(), deadline_ms.to_string());
     let headers = [
         ("host", "x.example"),
         ("x-wisteriaglade-request-id", id),
-        ("x-wisteriaglade-deadline-ms", "2000"),
+        ("x-wisteriaglade-deadline-ms", deadline.as_str()),
         ("x-wisteriaglade-shard-key", key.as_str()),
     ];
     // The body of a booking is too long to be sent along with an offer.
@@ -494,12 +518,12 @@
 }
 
 /// Sends a plan that builds on version `base` until a control replica accepts it,
-/// and returns its version.
-pub async fn put_plan(client: &Client, controls: &[SocketAddr], base: u64) -> u64 {
+/// and returns its version. `timeout_s` is that of its rules in seconds.
+pub async fn put_plan(client: &Client, controls: &[SocketAddr], base: u64, timeout_s: f64) -> u64 {
     let version = base + 2;
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
-        json!({"name": name, "path-prefix": prefix, "kind": kind, "timeout-s": 3.0,
-            "slo-s": 1.0, "priority": 0, "service": service, "max-attempts": 2})
+        json!({"name": name, "path-prefix": prefix, "kind": kind, "timeout-s": timeout_s,
+            "slo-s": timeout_s / 3.0, "priority": 0, "service": service, "max-attempts": 2})
     };
     let body = json!({
         "version": version,
--- a/wisteriaglade-fleet/src/host/admission.rs
+++ b/wisteriaglade-fleet/src/host/admission.rs
@@ -33,6 +33,7 @@
     Host,
     outcomes::Outcomes,
     target::{Client, Failure, Match, Reuse},
+    tracker::Tracker,
 };
 use crate::{
     Dialect,
@@ -300,8 +301,7 @@
         if tracker.owner() != Some(&offer.owner) {
             return Some((Reason::NotTarget, Duration::ZERO));
         }
-        let limit = self.settings.drain.mul_f64(DRAIN_ACCEPT_RATIO);
-        if tracker.draining_for(now).is_some_and(|time| time > limit) {
+        if self.has_drained(&tracker, now) {
             return Some((Reason::Draining, Duration::ZERO));
         }
         if tracker.condition() == Some(Condition::Silent) {
@@ -359,9 +359,9 @@
         }
     }
 
-    /// Rejects waiting requests that can no longer be answered in time, starts those
-    /// that the target's limit allows by now, closes idle connections and updates the
-    /// load gauges.
+    /// Rejects waiting requests that the target may no longer be sent, starts those
+    /// that its limit allows by now, closes idle connections and updates the load
+    /// gauges.
     pub(super) fn tick_admission<D: Dialect>(self: &Arc<Self>) {
         let now = self.clock.now();
         self.admission.target.close_stale();
@@ -371,6 +371,7 @@
         self.metrics.waiting.set(load.waiting.into());
         drop(inner);
         if load.waiting > 0 {
+            self.reject_drained::<D>(now);
             self.reject_lost_keys::<D>(now);
             let mut inner = lock(&self.admission.inner);
             let mut effects = Vec::new();
@@ -379,6 +380,24 @@
         }
     }
 
+    /// Rejects all waiting requests once the target has been draining so long that it
+    /// may be sent no more: another target can run them in time.
+    fn reject_drained<D: Dialect>(self: &Arc<Self>, now: Duration) {
+        if !self.has_drained(&lock(&self.tracker), now) {
+            return;
+        }
+        let mut inner = lock(&self.admission.inner);
+        let mut effects = Vec::new();
+        inner.queue.reject_all(Reason::Draining, &mut effects);
+        self.apply_effects::<D>(now, &mut inner, effects);
+    }
+
+    /// Whether the target has been draining so long that it may be sent no more.
+    fn has_drained(&self, tracker: &Tracker, now: Duration) -> bool {
+        let limit = self.settings.drain.mul_f64(DRAIN_ACCEPT_RATIO);
+        tracker.draining_for(now).is_some_and(|time| time > limit)
+    }
+
     /// Rejects waiting requests whose key has moved away from the target.
     pub(super) fn reject_lost_keys<D: Dialect>(self: &Arc<Self>, now: Duration) {
         let mut inner = lock(&self.admission.inner);
