--- a/wisteriaglade-fleet/src/control/replica.rs
+++ b/wisteriaglade-fleet/src/control/replica.rs
@@ -268,15 +268,15 @@
     let worker = open(&setup, &handle, clock)?;
     thread::Builder::new()
         .name("replica".to_owned())
-        .spawn(move || run(worker, &setup, &inputs))?;
+        .spawn(move || run_until_stopped(worker, &setup, &inputs))?;
     Ok((handle, id))
 }
 
 /// Runs a worker, and another one after each failed write, until the process ends.
-fn run(mut worker: Worker, setup: &Setup, inputs: &mpsc::Receiver<Input>) {
+fn run_until_stopped(mut worker: Worker, setup: &Setup, inputs: &mpsc::Receiver<Input>) {
     while worker.run(inputs) == Exit::Failed {
         let (handle, clock) = (worker.handle.clone(), worker.clock);
-        // Ends its lock on the data folder, which is opened again.
+        // Gives up the lock on the data folder, which is opened again.
         drop(worker);
         let Some(next) = reopen(setup, &handle, clock, inputs) else {
             return;
--- a/wisteriaglade-fleet/src/control/replica/tests.rs
+++ b/wisteriaglade-fleet/src/control/replica/tests.rs
@@ -11,7 +11,7 @@
 use wisteriaglade_mesh::{Command, Plan, Reply};
 use wisteriaglade_wire::Clock;
 
-use super::{Handle, Proposed, Setup, open, run};
+use super::{Handle, Proposed, Setup, open, run_until_stopped};
 
 /// The bound for a replica to lead its group of one, which needs no votes: several
 /// times the delay before the storage is opened again.
@@ -62,8 +62,8 @@
     (handle, inputs)
 }
 
-/// Waits until the replica leads. Returns `false` if it does not in time.
-fn waits_until_leading(handle: &Handle) -> bool {
+/// Waits until the replica leads, and returns whether it does within [`LEAD_BOUND`].
+fn leads_in_time(handle: &Handle) -> bool {
     let end = Instant::now() + LEAD_BOUND;
     while Instant::now() < end {
         if handle.status().is_leading() {
@@ -84,12 +84,12 @@
     let setup = disk.setup();
     let worker = open(&setup, &handle, Clock::new()).unwrap();
     disk.fail();
-    let thread = thread::spawn(move || run(worker, &setup, &inputs));
+    let thread = thread::spawn(move || run_until_stopped(worker, &setup, &inputs));
 
     let confirmed = handle.confirm().await;
     let led_before = handle.status().is_leading();
     disk.recover();
-    let leads = waits_until_leading(&handle);
+    let leads = leads_in_time(&handle);
     handle.stop.store(true, Ordering::Relaxed);
     thread.join().unwrap();
 
@@ -124,8 +124,8 @@
     let (access, inputs) = handle();
     let setup = disk.setup();
     let worker = open(&setup, &access, Clock::new()).unwrap();
-    let thread = thread::spawn(move || run(worker, &setup, &inputs));
-    assert!(waits_until_leading(&access));
+    let thread = thread::spawn(move || run_until_stopped(worker, &setup, &inputs));
+    assert!(leads_in_time(&access));
     let mut largest = 0;
 
     for version in 1..=PLANS {
--- a/wisteriaglade-fleet/src/host/tracker.rs
+++ b/wisteriaglade-fleet/src/host/tracker.rs
@@ -288,7 +288,8 @@
     /// Takes a heartbeat. Returns the grant for its answer, if ranges are granted
     /// there, and whether a report should be sent to the leader immediately. Returns `None`
     /// for a heartbeat of an earlier process, for one that was overtaken by a later
-    /// one, and for one of another process while the target is still heard. A new target is granted no key ranges until the next
+    /// one, and for one of another process while the target is still heard. A new
+    /// target is granted no key ranges until the next
     /// [`update_keyspaces`](Self::update_keyspaces).
     pub(super) fn apply_heartbeat(
         &mut self,
--- a/wisteriaglade-fleet/src/server.rs
+++ b/wisteriaglade-fleet/src/server.rs
@@ -31,8 +31,8 @@
 /// within this time: the round trip to the farthest callers is 16 ms.
 const LAST_REQUEST_WAIT: Duration = Duration::from_millis(100);
 
-/// How often a connection without an idle timeout looks whether it has one now.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(5);
+/// How often an idle connection at least looks whether its idle timeout has changed.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_mins(1);
 
 /// Handles the requests of one listener.
 pub(crate) trait Service: Clone + Send + Sync + 'static {
@@ -65,12 +65,15 @@
             Activity::Busy => now,
             Activity::IdleSince(since) => since,
         };
-        let end = match service.idle_timeout() {
-            Some(timeout) if since + timeout <= now => return,
-            Some(timeout) => since + timeout,
-            None => now + IDLE_CHECK_INTERVAL,
-        };
-        sleep_until(end).await;
+        // A timeout that is too long for the clock is none.
+        let end = service
+            .idle_timeout()
+            .and_then(|timeout| since.checked_add(timeout));
+        if end.is_some_and(|end| end <= now) {
+            return;
+        }
+        let latest = now + IDLE_CHECK_INTERVAL;
+        sleep_until(end.map_or(latest, |end| end.min(latest))).await;
     }
 }
 
--- a/wisteriaglade-fleet/src/server/tests.rs
+++ b/wisteriaglade-fleet/src/server/tests.rs
@@ -18,27 +18,38 @@
 /// How long a connection may be idle in these tests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A service that works on each request for a given time.
+/// A service that works on each request for some time.
 #[derive(Debug, Clone, Copy)]
-struct Work(Duration);
+struct Worker {
+    work: Duration,
+    idle_timeout: Duration,
+}
 
-impl Service for Work {
+impl Service for Worker {
     async fn answer(&self, _: SocketAddr, _: Request<Incoming>) -> Response<Full<Bytes>> {
-        sleep(self.0).await;
+        sleep(self.work).await;
         Response::new(Full::new(Bytes::from_static(b"done")))
     }
 
     fn idle_timeout(&self) -> Option<Duration> {
-        Some(IDLE_TIMEOUT)
+        Some(self.idle_timeout)
+    }
+}
+
+/// A service that takes `work` for a request.
+fn worker(work: Duration) -> Worker {
+    Worker {
+        work,
+        idle_timeout: IDLE_TIMEOUT,
     }
 }
 
 /// Starts a server and connects to it.
-async fn connect(work: Duration, stop: &CancellationToken) -> TcpStream {
+async fn connect(worker: Worker, stop: &CancellationToken) -> TcpStream {
     let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = free.local_addr().unwrap();
     drop(free);
-    listen(address, Work(work), stop.clone()).unwrap();
+    listen(address, worker, stop.clone()).unwrap();
     TcpStream::connect(address).await.unwrap()
 }
 
@@ -68,8 +79,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_idle_connection_is_closed() {
     let stop = CancellationToken::new();
-    let mut unused = connect(Duration::ZERO, &stop).await;
-    let mut used = connect(Duration::ZERO, &stop).await;
+    let mut unused = connect(worker(Duration::ZERO), &stop).await;
+    let mut used = connect(worker(Duration::ZERO), &stop).await;
     assert!(ask(&mut used).await);
 
     assert!(is_closed_within(&mut unused, 3 * IDLE_TIMEOUT).await);
@@ -81,12 +92,28 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_connection_in_use_stays_open() {
     let stop = CancellationToken::new();
-    let mut short = connect(Duration::ZERO, &stop).await;
+    let mut short = connect(worker(Duration::ZERO), &stop).await;
 
     for _ in 0..3 {
         assert!(ask(&mut short).await, "a short request");
         sleep(IDLE_TIMEOUT * 4 / 5).await;
     }
-    let mut long = connect(3 * IDLE_TIMEOUT, &stop).await;
+    let mut long = connect(worker(3 * IDLE_TIMEOUT), &stop).await;
     assert!(ask(&mut long).await, "a long request");
 }
+
+// Guards against connections that break because the plan has an idle timeout that the
+// clock cannot add up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_huge_idle_timeout_is_none() {
+    let stop = CancellationToken::new();
+    let endless = Worker {
+        idle_timeout: Duration::MAX,
+        ..worker(Duration::ZERO)
+    };
+    let mut stream = connect(endless, &stop).await;
+
+    assert!(ask(&mut stream).await);
+    assert!(!is_closed_within(&mut stream, IDLE_TIMEOUT).await);
+    assert!(ask(&mut stream).await);
+}
