Share the start of faulty fleets and the check for lost values in tests

Cause: the loop that waits for a fleet with faulty targets and the check that no acknowledged value is lost each stood twice, found on the last read.

Change: one function for each; the assertions and their bounds are the same.

--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -18,7 +18,12 @@
 /// Starts a fleet whose only target answers as the id of a request asks. The
 /// callers' host is that of the target.
 async fn faulty_fleet(seed: u8) -> Fleet {
-    let fleet = Fleet::start_with(seed, 1, 0, 1, Servers::Faulty).await;
+    faulty_fleet_of(seed, 1).await
+}
+
+/// Starts such a fleet with a number of targets.
+async fn faulty_fleet_of(seed: u8, targets: u8) -> Fleet {
+    let fleet = Fleet::start_with(seed, 1, 0, targets, Servers::Faulty).await;
     let started = Instant::now();
     let mut attempt = 0;
     while fleet
@@ -124,19 +129,7 @@
 #[case::without_an_id(229, "anonymous")]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_copy_of_a_refusal_during_the_work_is_no_refusal(#[case] seed: u8, #[case] fault: &str) {
-    let fleet = Fleet::start_with(seed, 1, 0, 2, Servers::Faulty).await;
-    let bound = Instant::now() + START_BOUND;
-    let mut attempt = 0;
-    while fleet
-        .request(1, "book", &format!("book-start-{attempt}"), 0)
-        .await
-        .0
-        != StatusCode::OK
-    {
-        assert!(Instant::now() < bound, "the fleet does not serve");
-        attempt += 1;
-        sleep(Duration::from_millis(50)).await;
-    }
+    let fleet = faulty_fleet_of(seed, 2).await;
     let mut runs = 0;
 
     for number in 0..12 {
--- a/wisteriaglade-consensus/tests/first_group.rs
+++ b/wisteriaglade-consensus/tests/first_group.rs
@@ -22,6 +22,14 @@
     }
 }
 
+/// Checks that the leader has every acknowledged value.
+fn assert_nothing_lost(network: &mut Network) {
+    let leader = network.wait_for_leader();
+    let values = &network.running(leader).values;
+    let acknowledged = &network.history.acknowledged;
+    assert!(acknowledged.iter().all(|value| values.contains(value)));
+}
+
 /// Creates a member of a group of three with an empty disk.
 fn blank() -> Raft {
     let config = Config::new(OWN, [OWN, SECOND_REPLICA, THIRD_REPLICA]);
@@ -79,10 +87,8 @@
         network.run(3 * SECOND);
         network.commit_one();
 
+        assert_nothing_lost(&mut network);
         let leader = network.wait_for_leader();
-        let values = &network.running(leader).values;
-        let acknowledged = &network.history.acknowledged;
-        assert!(acknowledged.iter().all(|value| values.contains(value)));
         assert_eq!(network.raft(leader).members().len() as u64, members);
     }
 }
@@ -239,9 +245,6 @@
         network.run(3 * SECOND);
         network.commit_one();
 
-        let leader = network.wait_for_leader();
-        let values = &network.running(leader).values;
-        let acknowledged = &network.history.acknowledged;
-        assert!(acknowledged.iter().all(|value| values.contains(value)));
+        assert_nothing_lost(&mut network);
     }
 }
